--- a/cmd/hickoryridge/main.go
+++ b/cmd/hickoryridge/main.go
@@ -1,6 +1,7 @@
 // Command hickoryridge runs an instance of the serving system.
 //
-//	hickoryridge serve -settings FILE   run an instance
+//	hickoryridge serve [-settings FILE] run an instance; without the flag the file that
+//	                                    the variable HICKORYRIDGE_SETTINGS names
 //	hickoryridge check -settings FILE   validate a settings file
 //	hickoryridge demo [-keep]           run everything in one process and send requests
 //	hickoryridge version                print the version
@@ -10,15 +11,18 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/hickoryridge/hickoryridge/instance"
 	"github.com/hickoryridge/hickoryridge/internal/cli"
 	"github.com/hickoryridge/hickoryridge/internal/demo"
+	"github.com/hickoryridge/hickoryridge/internal/duty"
 	"github.com/hickoryridge/hickoryridge/settings"
 )
 
 const usage = `usage:
-  hickoryridge serve -settings FILE   run an instance
+  hickoryridge serve [-settings FILE] run an instance; without the flag the file that
+                                      the variable HICKORYRIDGE_SETTINGS names
   hickoryridge check -settings FILE   validate a settings file (exit 2 if it has faults)
   hickoryridge demo [-keep]           run everything in one process and send requests
   hickoryridge version                print the version
@@ -50,41 +54,63 @@
 	}
 }
 
+// source is where settings come from.
+type source struct {
+	path    string
+	foreign bool // someone else fills the file in
+}
+
 // loadSettings parses the flags of a command that takes a settings file.
-func loadSettings(command string, args []string) (*settings.Settings, int) {
+func loadSettings(command string, args []string) (*settings.Settings, source, int) {
 	flags := flag.NewFlagSet(command, flag.ContinueOnError)
 	path := flags.String("settings", "", "settings `file`")
 	if err := flags.Parse(args); err != nil {
-		return nil, cli.ExitInvalid
+		return nil, source{}, cli.ExitInvalid
+	}
+	from := source{path: *path}
+	if from.path == "" {
+		from = source{path: os.Getenv(settings.Variable), foreign: true}
 	}
-	if *path == "" || flags.NArg() > 0 {
-		fmt.Fprintf(os.Stderr, "%s: want -settings FILE and nothing else\n", command)
-		return nil, cli.ExitInvalid
+	if from.path == "" || flags.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "%s: want -settings FILE or a path in %s, and nothing else\n", command, settings.Variable)
+		return nil, source{}, cli.ExitInvalid
 	}
-	s, faults, err := settings.Load(*path)
+	s, faults, err := settings.Load(from.path, from.foreign)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return nil, cli.ExitInvalid
+		return nil, source{}, cli.ExitInvalid
 	}
 	if len(faults) > 0 {
-		cli.PrintFaults(os.Stderr, *path, faults)
-		return nil, cli.ExitInvalid
+		cli.PrintFaults(os.Stderr, from.path, faults)
+		return nil, source{}, cli.ExitInvalid
 	}
-	return s, cli.ExitOK
+	return s, from, cli.ExitOK
 }
 
 func serve(args []string) int {
-	s, code := loadSettings("serve", args)
+	s, from, code := loadSettings("serve", args)
 	if s == nil {
 		return code
 	}
-	logger := cli.Logger(os.Stderr, s.Log.Level)
+	logger := cli.Logger(os.Stdout, s.Log.Level)
+	if s.Limits.Memory > 0 {
+		debug.SetMemoryLimit(int64(s.Limits.Memory))
+	}
 	in, err := instance.New(s, logger)
 	if err != nil {
 		logger.WithField("event", "start_failed").Error(err)
 		return cli.ExitFailed
 	}
-	if err := in.Run(cli.Signals()); err != nil {
+	ctx := cli.Signals()
+	watch := settings.Watch{Path: from.path, Foreign: from.foreign, Changed: in.Reload, Log: logger}
+	reloads := duty.New(ctx)
+	reloads.Go("settings", watch.Run)
+	err = in.Run(ctx)
+	reloads.Stop()
+	if stopped := reloads.Wait(); err == nil {
+		err = stopped
+	}
+	if err != nil {
 		logger.WithField("event", "run_failed").Error(err)
 		return cli.ExitFailed
 	}
@@ -92,7 +118,7 @@
 }
 
 func check(args []string) int {
-	s, code := loadSettings("check", args)
+	s, _, code := loadSettings("check", args)
 	if s == nil {
 		return code
 	}
--- a/desired/document.go
+++ b/desired/document.go
@@ -46,10 +46,14 @@
 	Models   []Model      `json:"models,omitempty"`
 	Services []Service    `json:"services"`
 	Routes   []Route      `json:"routes,omitempty"`
+	Forwards []Forward    `json:"forwards,omitempty"`
 	Classes  []Class      `json:"classes"`
 	Tenants  []Tenant     `json:"tenants"`
 	Engines  []Engine     `json:"engines,omitempty"`
 	Roles    Roles        `json:"roles"`
+	// Origin is the text that the document was translated from, if an operator wrote it
+	// in another format. It is given back as it came.
+	Origin json.RawMessage `json:"origin,omitempty"`
 }
 
 // Model is a model with its versions and adapters.
@@ -70,12 +74,13 @@
 
 // Service is something that targets offer.
 type Service struct {
-	Name       ident.ServiceID `json:"name"`
-	Kind       Kind            `json:"kind"`
-	Model      string          `json:"model,omitempty"`
-	Version    string          `json:"version,omitempty"`
-	Operations []Operation     `json:"operations,omitempty"`
-	Timeout    Duration        `json:"timeout,omitempty"` // longest run of one request; 0 means DefaultTimeout
+	Name        ident.ServiceID `json:"name"`
+	Kind        Kind            `json:"kind"`
+	Model       string          `json:"model,omitempty"`
+	Version     string          `json:"version,omitempty"`
+	Operations  []Operation     `json:"operations,omitempty"`
+	Timeout     Duration        `json:"timeout,omitempty"`     // longest run of one request; 0 means DefaultTimeout
+	Connections int             `json:"connections,omitempty"` // that a target accepts from all instances together; 0 means no bound
 }
 
 // DefaultTimeout bounds a request of a service that names no timeout.
--- a/desired/validate.go
+++ b/desired/validate.go
@@ -26,6 +26,7 @@
 	v.classes()
 	v.tenants()
 	v.routes()
+	v.forwards()
 	v.engines()
 	if d.Roles.Goodput < 0 || d.Roles.Goodput > 1 {
 		v.faults.Add("$.roles.goodput", "want a number from 0 to 1, not %v", d.Roles.Goodput)
@@ -78,7 +79,7 @@
 }
 
 func (v *validator) services() {
-	if len(v.d.Services) == 0 {
+	if len(v.d.Services) == 0 && len(v.d.Origin) == 0 {
 		v.faults.Add("$.services", "want at least one service")
 	}
 	v.names("services", len(v.d.Services), func(i int) string { return string(v.d.Services[i].Name) })
@@ -134,7 +135,7 @@
 }
 
 func (v *validator) classes() {
-	if len(v.d.Classes) == 0 {
+	if len(v.d.Classes) == 0 && len(v.d.Origin) == 0 {
 		v.faults.Add("$.classes", "want at least one class")
 	}
 	v.names("classes", len(v.d.Classes), func(i int) string { return string(v.d.Classes[i].Name) })
@@ -153,7 +154,7 @@
 }
 
 func (v *validator) tenants() {
-	if len(v.d.Tenants) == 0 {
+	if len(v.d.Tenants) == 0 && len(v.d.Origin) == 0 {
 		v.faults.Add("$.tenants", "want at least one tenant")
 	}
 	v.names("tenants", len(v.d.Tenants), func(i int) string { return string(v.d.Tenants[i].Name) })
--- /dev/null
+++ b/dispatch/backend.go
@@ -0,0 +1,103 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/desired"
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/target/http1"
+	"github.com/hickoryridge/hickoryridge/router"
+)
+
+// Forward is a request that is passed on as it is.
+type Forward struct {
+	ID      string // the caller's name for this attempt; empty if it gave none
+	Rule    *desired.Forward
+	Service ident.ServiceID // of the rule's split
+	Config  *Current
+	Arrived clock.Time
+	Budget  time.Duration // for which the caller waits, from Arrived; 0 means unknown
+	Method  string
+	URI     string // path and query as they came
+	Host    string
+	Header  http.Header // end to end
+	Body    []byte
+	Parts   []router.Part // of the prompt; none for a plain service
+	Output  ident.Tokens  // bound of the answer; 0 means unknown
+	After   string        // id of the last event that the caller has
+}
+
+// Call is one attempt of a forwarded request at a target.
+type Call struct {
+	Request *Forward
+	Target  ident.TargetID
+	Address string
+	Left    time.Duration // of the caller's time
+	After   string        // id of the last event that was delivered
+	Import  *Copy         // KV cache to use
+}
+
+// Copy names KV cache that an engine keeps for one request.
+type Copy struct {
+	Address string
+	Handle  string
+}
+
+// Outcome is what became of a Call. There are three: Answered, NotRun and Unknown.
+// Only NotRun allows anyone to say that a request was not executed.
+type Outcome interface{ outcome() }
+
+// Answered brings the beginning of the target's answer, whatever its status.
+type Answered struct {
+	Answer *http1.Answer
+	Load   *router.Report // as the answer tells it; nil if it does not
+}
+
+// NotRun says that the target has not run the request and never will.
+type NotRun struct {
+	Reason Reason
+	Err    error
+}
+
+// Unknown says that the request may have run, or may still run.
+type Unknown struct{ Err error }
+
+func (Answered) outcome() {}
+func (NotRun) outcome()   {}
+func (Unknown) outcome()  {}
+
+// Reason tells why a request has not run.
+type Reason uint8
+
+// The reasons.
+const (
+	Unreachable Reason = iota // nothing was sent
+	Full                      // the target rejected it
+	Elsewhere                 // another target has the address
+	CopyGone                  // the KV cache to use is not there
+)
+
+// String returns the reason for logs.
+func (r Reason) String() string {
+	return [...]string{"unreachable", "full", "elsewhere", "copy_gone"}[r]
+}
+
+// Backend speaks to targets in their protocol. It repeats nothing by itself.
+type Backend interface {
+	// Run sends a call.
+	Run(ctx context.Context, c Call) Outcome
+	// Prefill has the prompt of a call processed, without running it.
+	Prefill(ctx context.Context, c Call) (*Copy, Outcome)
+	// Release frees KV cache that nobody will use.
+	Release(ctx context.Context, c *Copy)
+}
+
+// Sink takes the answer to a forwarded request. Begin comes once, before the first Write.
+type Sink interface {
+	Begin(status int, header http.Header) error
+	// Write sends bytes of the body at once.
+	Write(p []byte) error
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -35,6 +35,7 @@
 	Fleet    *Fleet
 	Engines  *engine.Client
 	Plain    *plain.Client
+	Backend  Backend // of forwarded requests; nil if there are none
 	Receipts *receipt.Runner
 	Metrics  *metrics.Metrics
 	Log      *logrus.Entry
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -40,16 +41,40 @@
 	}
 }
 
+// SetLease sets the bound on the leases of targets. It is called before the first
+// announcement.
+func (f *Fleet) SetLease(longest time.Duration) { f.table.SetLongest(longest) }
+
 // Announce takes a target's own announcement.
 func (f *Fleet) Announce(now clock.Time, a target.Announcement) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	lease := min(a.Lease.Span(), target.MaxLease)
+	lease := min(a.Lease.Span(), f.table.Longest())
 	old, _ := f.table.Get(a.Target)
 	f.table.Take(now, a, now.Add(lease), true)
 	f.heard(now, old, a.Target)
 }
 
+// Leave takes a target's word that it leaves, for one start of it or, if that is 0, for
+// the start that is known. No later announcement of that start counts.
+func (f *Fleet) Leave(now clock.Time, id ident.TargetID, start ident.Incarnation) {
+	f.mu.Lock()
+	old, known := f.table.Get(id)
+	f.mu.Unlock()
+	if !known && start == 0 {
+		return
+	}
+	a := old.Announcement
+	a.Target = id
+	a.Leaving = true
+	a.Cache = nil
+	if start != 0 {
+		a.Incarnation = start
+	}
+	a.Sequence = math.MaxUint64
+	f.Announce(now, a)
+}
+
 // Cursor returns how far another instance's listings have been taken.
 func (f *Fleet) Cursor(from ident.InstanceID) target.Cursor {
 	f.mu.Lock()
@@ -204,6 +229,13 @@
 	a.fleet.mu.Unlock()
 }
 
+// Report takes the load that the target told with an answer.
+func (a *Assignment) Report(load router.Report) {
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	a.fleet.router.Report(clock.Now(), a.Choice.ID, load)
+}
+
 // Failed tells that the target failed the request.
 func (a *Assignment) Failed() {
 	f := a.fleet
--- /dev/null
+++ b/dispatch/forward.go
@@ -0,0 +1,413 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryridge/hickoryridge/admit"
+	"github.com/hickoryridge/hickoryridge/desired"
+	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/target/event"
+	"github.com/hickoryridge/hickoryridge/internal/target/http1"
+	"github.com/hickoryridge/hickoryridge/router"
+)
+
+const (
+	// maxWhole bounds an answer that is no stream, in bytes.
+	maxWhole = 32 << 20
+	// streamBuffer is the size of one read of a stream, in bytes.
+	streamBuffer = 16 << 10
+	// releaseTime bounds the freeing of KV cache that nobody will use.
+	releaseTime = 1 * time.Second
+	// maxUnreachable bounds the targets that a request tries in vain to reach.
+	maxUnreachable = 3
+)
+
+// ErrBroken is the error of an answer that broke off after its beginning was passed on.
+// Its end must not look like that of a whole one.
+type ErrBroken struct{ Err error }
+
+// Error tells why.
+func (e *ErrBroken) Error() string { return "answer broke off: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ErrBroken) Unwrap() error { return e.Err }
+
+// forwardRun is the state of one forwarded request.
+type forwardRun struct {
+	d     *Dispatcher
+	f     *Forward
+	sink  Sink
+	model bool // the service has engines
+
+	prompt  ident.Tokens
+	pieces  []uint64
+	entered admit.Request
+	started clock.Time // when it was admitted
+	freed   bool       // its place in the window is free again
+
+	sent    int // targets that may have run it
+	vain    int // targets that were not reached
+	avoid   ident.TargetID
+	after   string // id of the last event that was delivered
+	begun   bool   // the answer has begun
+	began   bool   // its first byte is delivered
+	last    clock.Time
+	gone    error // the caller's end
+	unknown bool  // some attempt may have run
+}
+
+// Forward passes a request on to targets and its answer to sink. An error says with
+// fault.AnswerOf whether the request ran; one of type ErrBroken says that the answer
+// has begun and cannot be finished.
+func (d *Dispatcher) Forward(ctx context.Context, f *Forward, sink Sink) error {
+	left := f.left(clock.Now())
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	r := &forwardRun{d: d, f: f, sink: sink, after: f.After, model: len(f.Parts) > 0, prompt: router.PartTokens(f.Parts)}
+	if r.model {
+		r.pieces = router.PartPieces(nil, f.Parts)
+	}
+	if err := r.admit(ctx); err != nil {
+		return r.fail(ctx, err)
+	}
+	defer d.admit.Leave(f.Service)
+	defer r.free(-1)
+	d.countRequest(f.Service)
+	if err := r.attempts(ctx); err != nil {
+		return r.fail(ctx, err)
+	}
+	d.cfg.Metrics.Answered("", ident.ClassID(f.Rule.Name), "ok")
+	return nil
+}
+
+// left returns the time until the request has to have its final answer.
+func (f *Forward) left(now clock.Time) time.Duration {
+	bound := f.Rule.Timeout.Span()
+	if f.Budget > 0 {
+		bound = min(bound, f.Budget)
+	}
+	return bound - now.Sub(f.Arrived)
+}
+
+// fail says what is known of a request that was not answered whole.
+func (r *forwardRun) fail(ctx context.Context, err error) error {
+	late := ctx.Err() != nil && r.gone == nil && !r.begun
+	switch {
+	case r.begun:
+		err = &ErrBroken{err}
+	case r.unknown && late:
+		err = fault.WithRan(fault.Wrap(fault.Timeout, err), fault.RanUnknown)
+	case r.unknown:
+		err = fault.WithRan(fault.Wrap(fault.TargetFailed, err), fault.RanUnknown)
+	case late:
+		err = fault.WithRan(fault.Wrap(fault.DeadlineUnreachable, err), fault.RanNo)
+	}
+	r.d.cfg.Metrics.Answered("", ident.ClassID(r.f.Rule.Name), fault.Of(err).String())
+	r.d.cfg.Log.WithFields(logrus.Fields{
+		"event": "forward_failed", "request": r.f.ID, "rule": r.f.Rule.Name, "service": r.f.Service, "sent": r.sent, "unreached": r.vain,
+		"target": r.avoid, "after": r.after, "number": r.f.Config.Number, "ms": clock.Now().Sub(r.f.Arrived).Milliseconds(), "cause": err,
+	}).Info("request not answered whole")
+	return err
+}
+
+// admit waits for the request's turn.
+func (r *forwardRun) admit(ctx context.Context) error {
+	rule := r.f.Rule
+	r.entered = admit.Request{Class: ident.ClassID(rule.Name), Objective: r.objective()}
+	if r.model {
+		expected, ok := r.d.cfg.Fleet.Expect(clock.Now(), r.request(router.NeedPrefill))
+		if !ok {
+			return fault.New(fault.NoTarget, "no target of service %q is usable", r.f.Service)
+		}
+		r.entered.Cost = expected.First - expected.Wait
+	}
+	_, err := r.d.admit.Enter(ctx, r.f.Service, r.f.Config, r.entered)
+	r.started = clock.Now()
+	return err
+}
+
+// objective returns the time until which an answer is worth waiting for.
+func (r *forwardRun) objective() time.Duration {
+	if first := r.f.Rule.First.Span(); first > 0 {
+		return first
+	}
+	return r.f.Rule.Timeout.Span()
+}
+
+// free gives back the request's place in the window, with its wait at the targets or
+// a negative one if it got no answer.
+func (r *forwardRun) free(wait time.Duration) {
+	if r.freed {
+		return
+	}
+	r.freed = true
+	r.d.admit.First(r.f.Service, r.entered, wait)
+}
+
+func (r *forwardRun) request(n router.Need) router.Request {
+	if !r.model {
+		n = router.NeedAny
+	}
+	return router.Request{Service: r.f.Service, Need: n, Prompt: r.prompt, Pieces: r.pieces, Avoid: r.avoid}
+}
+
+// attempts tries targets until the answer is whole or nothing more may be tried.
+func (r *forwardRun) attempts(ctx context.Context) error {
+	for {
+		again, err := r.attempt(ctx)
+		if err == nil || !again || r.gone != nil {
+			return err
+		}
+		if ctx.Err() != nil {
+			return fault.New(fault.Timeout, "no whole answer within %v: %v", r.f.Rule.Timeout.Span(), err)
+		}
+		if r.sent > 0 && !r.d.mayRetry(r.f.Service) {
+			return fault.New(fault.RetryBudget, "the service's budget for retries is used up: %v", err)
+		}
+		r.d.cfg.Metrics.Count("retried")
+		r.d.cfg.Log.WithFields(logrus.Fields{
+			"event": "forward_again", "request": r.f.ID, "service": r.f.Service, "target": r.avoid,
+			"sent": r.sent, "unreached": r.vain, "after": r.after, "cause": err,
+		}).Info("attempt failed, another follows")
+	}
+}
+
+// attempt runs the request at one target, or its prompt at one and its answer at
+// another. again tells whether another attempt is allowed after an error.
+func (r *forwardRun) attempt(ctx context.Context) (again bool, err error) {
+	assigned, err := r.choose(router.NeedPrefill, "")
+	if err != nil {
+		return false, err
+	}
+	if !assigned.Split {
+		return r.runAt(ctx, assigned, nil)
+	}
+	c, outcome := r.prefill(ctx, assigned)
+	if c == nil {
+		return r.failed(ctx, assigned, outcome)
+	}
+	decode, err := r.choose(router.NeedDecode, assigned.Region)
+	if err != nil {
+		r.release(ctx, c)
+		return false, err
+	}
+	again, err = r.runAt(ctx, decode, c)
+	if err != nil && !r.begun {
+		r.release(ctx, c)
+	}
+	return again, err
+}
+
+func (r *forwardRun) choose(n router.Need, from ident.RegionID) (*Assignment, error) {
+	req := r.request(n)
+	req.From = from
+	assigned, err := r.d.cfg.Fleet.Choose(clock.Now(), req)
+	if err != nil && r.avoid != "" {
+		req.Avoid = "" // the only target left may be the one that failed
+		assigned, err = r.d.cfg.Fleet.Choose(clock.Now(), req)
+	}
+	if err != nil {
+		return nil, err
+	}
+	r.avoid = assigned.Choice.ID
+	return assigned, nil
+}
+
+func (r *forwardRun) call(a *Assignment) Call {
+	return Call{Request: r.f, Target: a.Choice.ID, Address: a.Address, Left: r.f.left(clock.Now()), After: r.after}
+}
+
+func (r *forwardRun) prefill(ctx context.Context, a *Assignment) (*Copy, Outcome) {
+	defer a.Ended()
+	c, outcome := r.d.cfg.Backend.Prefill(ctx, r.call(a))
+	if c != nil {
+		a.First()
+	}
+	return c, outcome
+}
+
+// release frees KV cache that nobody will use.
+func (r *forwardRun) release(ctx context.Context, c *Copy) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTime)
+	defer cancel()
+	r.d.cfg.Backend.Release(ctx, c)
+}
+
+// runAt runs the request at a target and passes its answer on.
+func (r *forwardRun) runAt(ctx context.Context, a *Assignment, c *Copy) (again bool, err error) {
+	defer a.Ended()
+	call := r.call(a)
+	call.Import = c
+	outcome := r.d.cfg.Backend.Run(ctx, call)
+	answered, ok := outcome.(Answered)
+	if !ok {
+		return r.failed(ctx, a, outcome)
+	}
+	defer answered.Answer.Close()
+	r.sent++
+	if answered.Load != nil {
+		a.Report(*answered.Load)
+	}
+	if r.f.Rule.Stream && answered.Answer.Status < 300 {
+		return r.stream(ctx, a, answered.Answer)
+	}
+	return r.whole(ctx, a, answered.Answer)
+}
+
+// failed takes an outcome without an answer.
+func (r *forwardRun) failed(ctx context.Context, a *Assignment, o Outcome) (again bool, err error) {
+	switch o := o.(type) {
+	case NotRun:
+		return r.notRun(ctx, a, o)
+	case Unknown:
+		r.sent++
+		r.unknown = true
+		if ctx.Err() == nil {
+			a.Failed()
+		}
+		return r.mayRepeat(), fault.New(fault.TargetFailed, "target %s: %v", a.Choice.ID, o.Err)
+	default:
+		return false, fault.New(fault.Internal, "unexpected outcome %T", o)
+	}
+}
+
+func (r *forwardRun) notRun(ctx context.Context, a *Assignment, o NotRun) (again bool, err error) {
+	err = fault.WithRan(fault.New(fault.NoTarget, "target %s: %s: %v", a.Choice.ID, o.Reason, o.Err), fault.RanNo)
+	switch o.Reason {
+	case Unreachable:
+		r.vain++
+		if ctx.Err() == nil {
+			a.Failed()
+		}
+		return r.vain < maxUnreachable, err
+	case Elsewhere:
+		a.Failed()
+		r.vain++
+		return r.vain < maxUnreachable, err
+	case CopyGone:
+		r.vain++
+		return r.vain < maxUnreachable, err
+	default:
+		r.sent++
+		return r.sent < r.f.Rule.MaxAttempts(), err
+	}
+}
+
+// mayRepeat reports whether a request that may have run may be sent again.
+func (r *forwardRun) mayRepeat() bool {
+	return r.f.Rule.Repeat != desired.RepeatNever && r.sent < r.f.Rule.MaxAttempts()
+}
+
+// whole reads an answer to its end before it passes it on.
+func (r *forwardRun) whole(ctx context.Context, a *Assignment, answer *http1.Answer) (again bool, err error) {
+	body, err := io.ReadAll(io.LimitReader(answer, maxWhole+1))
+	if err == nil && len(body) > maxWhole {
+		err = fault.New(fault.TooLarge, "answer of more than %d bytes", maxWhole)
+	}
+	if err != nil {
+		return r.broken(ctx, a, err)
+	}
+	a.First()
+	failed := answer.Status >= http.StatusInternalServerError
+	if failed && r.f.Rule.Repeat == desired.RepeatWhole && r.mayRepeat() && ctx.Err() == nil && r.d.mayRetry(r.f.Service) {
+		return r.instead(ctx, answer, body)
+	}
+	return false, r.deliver(answer, body)
+}
+
+// instead tries another target after one that answered with a failure, and delivers that
+// failure if there is nothing better.
+func (r *forwardRun) instead(ctx context.Context, answer *http1.Answer, body []byte) (again bool, err error) {
+	r.unknown = true
+	if _, err := r.attempt(ctx); err == nil || r.begun || r.gone != nil {
+		return false, err
+	}
+	return false, r.deliver(answer, body)
+}
+
+func (r *forwardRun) deliver(answer *http1.Answer, body []byte) error {
+	r.free(max(0, clock.Now().Sub(r.started)-r.entered.Cost))
+	r.d.cfg.Metrics.First("", ident.ClassID(r.f.Rule.Name), clock.Now().Sub(r.f.Arrived))
+	r.begun = true
+	if err := r.sink.Begin(answer.Status, answer.Header); err != nil {
+		r.gone = err
+		return err
+	}
+	if err := r.sink.Write(body); err != nil {
+		r.gone = err
+		return err
+	}
+	return nil
+}
+
+// broken takes an answer that broke off.
+func (r *forwardRun) broken(ctx context.Context, a *Assignment, err error) (again bool, _ error) {
+	r.unknown = true
+	if ctx.Err() == nil {
+		a.Failed()
+	}
+	again = r.mayRepeat() && (!r.begun || r.f.Rule.Repeat == desired.RepeatResume)
+	return again, fault.New(fault.TargetFailed, "target %s: answer broke off: %v", a.Choice.ID, err)
+}
+
+// stream passes whole events on as they arrive.
+func (r *forwardRun) stream(ctx context.Context, a *Assignment, answer *http1.Answer) (again bool, err error) {
+	var cutter event.Cutter
+	buf := make([]byte, streamBuffer)
+	for {
+		n, err := answer.Read(buf)
+		cutter.Add(buf[:n])
+		if events, id := cutter.Take(); events != nil {
+			if id != "" {
+				r.after = id
+			}
+			if err := r.pass(a, answer, events); err != nil {
+				r.gone = err
+				return false, err
+			}
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return r.broken(ctx, a, err)
+		}
+	}
+	if cutter.Rest() > 0 {
+		return r.broken(ctx, a, io.ErrUnexpectedEOF)
+	}
+	if r.begun {
+		return false, nil
+	}
+	r.begun = true
+	return false, r.sink.Begin(answer.Status, answer.Header)
+}
+
+// pass delivers events of the answer.
+func (r *forwardRun) pass(a *Assignment, answer *http1.Answer, events []byte) error {
+	now := clock.Now()
+	class := ident.ClassID(r.f.Rule.Name)
+	if !r.began {
+		r.began = true
+		r.d.cfg.Metrics.First("", class, now.Sub(r.f.Arrived))
+	} else {
+		r.d.cfg.Metrics.Between("", class, now.Sub(r.last))
+	}
+	a.First()
+	r.free(max(0, now.Sub(r.started)-r.entered.Cost))
+	r.last = now
+	if !r.begun {
+		r.begun = true
+		if err := r.sink.Begin(answer.Status, answer.Header); err != nil {
+			return err
+		}
+	}
+	return r.sink.Write(events)
+}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -46,6 +46,7 @@
 	FenceRefused
 	Corrupt
 	FrameInvalid
+	Timeout
 	kinds // the count of kinds; keep last
 )
 
@@ -100,6 +101,7 @@
 	FenceRefused:        {http.StatusConflict, "fence_refused", RanNo, 0},
 	Corrupt:             {http.StatusInternalServerError, "corrupt", RanUnknown, 0},
 	FrameInvalid:        {http.StatusBadRequest, "frame_invalid", RanNo, 0},
+	Timeout:             {http.StatusGatewayTimeout, "timeout", RanUnknown, shortWait},
 }
 
 // Kinds returns every kind of the closed list in its order.
@@ -171,6 +173,27 @@
 // Is reports whether err is of kind k.
 func Is(err error, k Kind) bool { return err != nil && Of(err) == k }
 
+// StatusOf returns the HTTP status for err. A status that promises that the request has not
+// run is given only where that is known; otherwise the answer is a bad gateway.
+func StatusOf(err error) int {
+	a := AnswerOf(err)
+	if a.Ran != RanNo && promises(a.Status) {
+		return http.StatusBadGateway
+	}
+	return a.Status
+}
+
+// promises reports whether callers take a status as the promise that the request has
+// not run and never will.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // AnswerOf returns the table entry for err, refined by WithRan and WithRetryAfter.
 func AnswerOf(err error) Answer {
 	a := Of(err).Answer()
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -56,12 +56,15 @@
 	grant, err := askFor[*peer.Grant](ctx, in.leader, &peer.Lease{
 		Instance: in.settings.Instance, Boot: in.boot, Version: before,
 		Demand: in.dispatcher.TakeDemand(), Leaving: in.stopping.Load(), Busy: in.fleet.Busy(),
-		Hold: in.gate.Held(asked) && before == in.confirmed,
+		Hold: in.gate.Held(asked) && before == in.confirmed, Roster: in.roster.Changed(),
 	})
 	if err != nil {
 		return err
 	}
 	in.confirmed = before
+	if grant.Roster != nil {
+		in.roster.Replace(*grant.Roster)
+	}
 	in.receipts.Reconcile(grant.Claims)
 	if err := in.gate.Granted(asked, grant); err != nil {
 		return err
@@ -122,6 +125,7 @@
 // updateGauges is the duty that reports the instance's state as metrics.
 func (in *Instance) updateGauges(ctx context.Context) error {
 	return duty.Every(ctx, gaugesEvery, func(context.Context) {
+		in.targets.Sweep(clock.Now())
 		running, waiting := in.dispatcher.Load()
 		in.metrics.Gauge("running", float64(running))
 		in.metrics.Gauge("waiting", float64(waiting))
--- a/instance/founding.go
+++ b/instance/founding.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/quorum"
 )
@@ -24,14 +26,15 @@
 func (v *voter) form(ctx context.Context) error {
 	ticker := time.NewTicker(formEvery)
 	defer ticker.Stop()
-	for !v.formed() {
-		disks, met := v.askOthers(ctx)
+	for !v.formed() && v.mayFound() {
+		members, complete := v.candidates(ctx)
+		disks, met := v.askOthers(ctx, members)
 		if met {
 			v.in.log.WithField("event", "quorum_met").Warn("the quorum is formed without this disk; it votes when it is added")
 			return nil
 		}
-		if disks != nil && v.founder() {
-			return v.foundQuorum(disks)
+		if disks != nil && complete && v.founder(members) {
+			return v.foundQuorum(members, disks)
 		}
 		select {
 		case <-ctx.Done():
@@ -50,16 +53,36 @@
 	return v.store.Formed()
 }
 
-func (v *voter) founder() bool { return v.in.settings.Voters()[0] == v.in.settings.Instance }
+// mayFound reports whether this voter may be one of the founders. Another one waits
+// until the leader has added its disk.
+func (v *voter) mayFound() bool {
+	seeds := v.in.seeds()
+	return len(seeds) == 0 || v.in.settings.Found && slices.Contains(seeds, v.in.settings.Control)
+}
+
+// candidates returns the voters that found the quorum, in order. complete is false
+// while some of them are not known.
+func (v *voter) candidates(ctx context.Context) (members []seed.Instance, complete bool) {
+	if len(v.in.seeds()) > 0 {
+		return v.founders(ctx)
+	}
+	for _, id := range v.in.settings.Voters() {
+		members = append(members, seed.Instance{ID: id})
+	}
+	return members, true
+}
+
+func (v *voter) founder(members []seed.Instance) bool { return members[0].ID == v.in.settings.Instance }
 
 // askOthers returns the disks of all voters if none belongs to a quorum; met is
 // true if one does.
-func (v *voter) askOthers(ctx context.Context) (disks map[ident.InstanceID]ident.DiskID, met bool) {
+func (v *voter) askOthers(ctx context.Context, members []seed.Instance) (disks map[ident.InstanceID]ident.DiskID, met bool) {
 	ctx, cancel := context.WithTimeout(ctx, formTime)
 	defer cancel()
 	disks = map[ident.InstanceID]ident.DiskID{v.in.settings.Instance: v.disk().Disk()}
 	complete := true
-	for _, id := range v.in.settings.Voters() {
+	for _, m := range members {
+		id := m.ID
 		if id == v.in.settings.Instance {
 			continue
 		}
@@ -81,10 +104,10 @@
 }
 
 // foundQuorum makes this disk the first of a new quorum and tells the others.
-func (v *voter) foundQuorum(disks map[ident.InstanceID]ident.DiskID) error {
+func (v *voter) foundQuorum(candidates []seed.Instance, disks map[ident.InstanceID]ident.DiskID) error {
 	var members quorum.Membership
-	for _, id := range v.in.settings.Voters() {
-		members.Members = append(members.Members, quorum.Member{ID: id, Disk: disks[id], Voter: true})
+	for _, c := range candidates {
+		members.Members = append(members.Members, quorum.Member{ID: c.ID, Disk: disks[c.ID], Voter: true, Address: c.Address})
 	}
 	if err := v.accept(members); err != nil {
 		return err
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -20,10 +20,13 @@
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/duty"
+	"github.com/hickoryridge/hickoryridge/internal/net/tcp"
+	"github.com/hickoryridge/hickoryridge/internal/target/http1"
 	"github.com/hickoryridge/hickoryridge/leader"
 	"github.com/hickoryridge/hickoryridge/metrics"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/plain"
+	"github.com/hickoryridge/hickoryridge/platform"
 	"github.com/hickoryridge/hickoryridge/receipt"
 	"github.com/hickoryridge/hickoryridge/router"
 	"github.com/hickoryridge/hickoryridge/settings"
@@ -50,17 +53,21 @@
 	callerTLS  *tls.Config
 	listeners  listeners
 	network    *peer.Network
+	roster     *roster
 	voter      *voter // nil if the instance keeps no replica
 	leader     *leaderClient
 	gate       *dispatch.Gate
 	fleet      *dispatch.Fleet
 	engines    *engine.Client
 	plain      *plain.Client
+	targets    *http1.Client // of forwarded requests
 	receipts   *receipt.Runner
 	dispatcher *dispatch.Dispatcher
 	metrics    *metrics.Metrics
 	stopping   atomic.Bool
-	confirmed  state.Version // newest view that the leader knows to be in force here; owned by the lease duty
+	lingering  atomic.Bool                       // stopping, but requests are still taken
+	reloaded   atomic.Pointer[settings.Settings] // the newest settings
+	confirmed  state.Version                     // newest view that the leader knows to be in force here; owned by the lease duty
 	ready      chan struct{}
 }
 
@@ -80,6 +87,7 @@
 		plain:   plain.NewClient(),
 		metrics: metrics.New(),
 	}
+	in.reloaded.Store(s)
 	if err := in.loadTLS(); err != nil {
 		return nil, err
 	}
@@ -89,19 +97,22 @@
 	in.fleet = dispatch.NewFleet(router.Config{
 		Region: s.Region, Domain: s.Domain, Links: router.DefaultLinks(), Seed: uint64(time.Now().UnixNano()), Noise: routeNoise,
 	}, in.gate, target.RunID(rand.Uint64()|1))
+	in.fleet.SetLease(s.TargetLease())
+	in.targets = http1.New(http1.Options{})
 	peers := map[ident.InstanceID]string{}
 	for _, p := range s.Peers {
 		peers[p.Instance] = p.Address
 	}
 	in.network = peer.NewNetwork(peer.Config{
 		Self: peer.Hello{Instance: s.Instance, Boot: boot}, Listen: in.listeners.peer,
-		Peers: peers, TLS: in.peerTLS, Handler: in.handle, Log: in.log,
+		Peers: peers, Open: len(s.Seeds) > 0, TLS: in.peerTLS, Handler: in.handle, Log: in.log,
 	})
-	in.leader = &leaderClient{self: s.Instance, voters: s.Voters(), local: in.handle, call: in.network.Call}
+	in.roster = &roster{self: s.Instance, network: in.network, voters: s.Voters()}
+	in.leader = &leaderClient{self: s.Instance, voters: in.roster.Voters, local: in.handle, call: in.network.Call}
 	in.receipts = receipt.NewRunner(in.leader, in.log)
 	in.dispatcher = dispatch.New(dispatch.Config{
 		Instance: s.Instance, Boot: boot, Gate: in.gate, Fleet: in.fleet, Engines: in.engines,
-		Plain: in.plain, Receipts: in.receipts, Metrics: in.metrics, Log: in.log, Running: s.RunningLimit(),
+		Plain: in.plain, Backend: &platform.Backend{Client: in.targets}, Receipts: in.receipts, Metrics: in.metrics, Log: in.log, Running: s.RunningLimit(),
 	})
 	if !s.Voter() {
 		return in, nil
@@ -124,7 +135,10 @@
 		{in.settings.Control, &in.listeners.control},
 		{in.settings.Peer, &in.listeners.peer},
 	} {
-		opened, err := net.Listen("tcp", l.addr)
+		if l.addr == "" {
+			continue // this instance serves no callers
+		}
+		opened, err := tcp.Listen(l.addr, peer.Connection)
 		if err != nil {
 			in.listeners.close()
 			return fault.New(fault.Internal, "listen on %s: %v", l.addr, err)
@@ -143,7 +157,23 @@
 }
 
 // CallersAddr returns the address for callers, with the port that was opened.
-func (in *Instance) CallersAddr() string { return in.listeners.callers.Addr().String() }
+// It is empty if the instance serves none.
+func (in *Instance) CallersAddr() string {
+	if in.listeners.callers == nil {
+		return ""
+	}
+	return in.listeners.callers.Addr().String()
+}
+
+// seeds returns the control addresses to find voters through.
+func (in *Instance) seeds() []string { return in.reloaded.Load().Seeds }
+
+// Reload takes changed settings. Only the seeds change while the instance runs; the
+// rest is taken at the next start.
+func (in *Instance) Reload(s *settings.Settings) {
+	in.reloaded.Store(s)
+	in.log.WithFields(logrus.Fields{"event": "settings_reloaded", "seeds": s.Seeds}).Info("settings reloaded")
+}
 
 // ControlAddr returns the address for operators and targets.
 func (in *Instance) ControlAddr() string { return in.listeners.control.Addr().String() }
@@ -165,10 +195,15 @@
 		g.Go("receipts", in.receipts.Close)
 	}
 	g.Go("dispatch", in.dispatcher.Run)
-	g.Go("lease", in.renewLease)
-	g.Go("table", in.pullTables)
+	if len(in.settings.Seeds) > 0 {
+		g.Go("seek", in.seek)
+	}
 	g.Go("gauges", in.updateGauges)
-	g.Go("callers", in.serveCallers)
+	if in.listeners.callers != nil {
+		g.Go("lease", in.renewLease)
+		g.Go("table", in.pullTables)
+		g.Go("callers", in.serveCallers)
+	}
 	g.Go("control", in.serveControl)
 	g.Go("stop", func(background context.Context) error {
 		select {
@@ -186,6 +221,7 @@
 	err := g.Wait()
 	in.engines.Close()
 	in.plain.Close()
+	in.targets.Close()
 	_ = in.metrics.Close() // the last counts are lost with the process anyway
 	in.log.WithFields(logrus.Fields{"event": "stopped", "cause": err}).Info("stopped")
 	return err
@@ -194,8 +230,9 @@
 // drain takes the instance out of service and waits for what is in progress.
 func (in *Instance) drain(ctx context.Context) {
 	in.stopping.Store(true)
-	in.gate.Drain()
 	in.log.WithField("event", "draining").Info("draining")
+	in.linger(ctx)
+	in.gate.Drain()
 	if bound := in.settings.Timing.Stop.Span(); bound > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, bound)
@@ -218,6 +255,19 @@
 	in.handOver(ctx)
 }
 
+// linger goes on serving while the balancer takes the instance out.
+func (in *Instance) linger(ctx context.Context) {
+	wait := in.settings.Timing.Linger.Span()
+	if wait == 0 {
+		return
+	}
+	in.lingering.Store(true)
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
 // handOver gives the leadership away while the connections still stand.
 func (in *Instance) handOver(ctx context.Context) {
 	if in.voter == nil || !in.voter.handOver() {
--- a/instance/leaderclient.go
+++ b/instance/leaderclient.go
@@ -24,7 +24,7 @@
 // put to the next voter until the context ends.
 type leaderClient struct {
 	self   ident.InstanceID
-	voters []ident.InstanceID
+	voters func() []ident.InstanceID
 	local  peer.Handler
 	call   func(ctx context.Context, to ident.InstanceID, b peer.Body) (peer.Body, error)
 
@@ -63,6 +63,9 @@
 }
 
 func (c *leaderClient) askOne(ctx context.Context, to ident.InstanceID, b peer.Body) (peer.Body, error) {
+	if to == "" {
+		return nil, fault.WithRan(fault.New(fault.NotLeader, "no voter is known yet"), fault.RanNo)
+	}
 	ctx, cancel := context.WithTimeout(ctx, tryTime)
 	defer cancel()
 	if to == c.self {
@@ -84,8 +87,9 @@
 func (c *leaderClient) choose() ident.InstanceID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.hint == "" {
-		c.hint = c.voters[c.next%len(c.voters)]
+	voters := c.voters()
+	if c.hint == "" && len(voters) > 0 {
+		c.hint = voters[c.next%len(voters)]
 		c.next++
 	}
 	return c.hint
--- a/instance/members.go
+++ b/instance/members.go
@@ -25,7 +25,10 @@
 	defer v.changes.Unlock()
 	switch m.Change {
 	case peer.MemberAdd:
-		return v.addMember(ctx, node, m.Instance)
+		if m.Address != "" {
+			v.in.network.SetPeer(m.Instance, m.Address)
+		}
+		return v.addMember(ctx, node, m.Instance, m.Address)
 	case peer.MemberRemove:
 		return v.removeDisks(ctx, node, m.Instance, "")
 	default:
@@ -33,7 +36,7 @@
 	}
 }
 
-func (v *voter) addMember(ctx context.Context, node *quorum.Node, id ident.InstanceID) error {
+func (v *voter) addMember(ctx context.Context, node *quorum.Node, id ident.InstanceID, addr string) error {
 	reply, err := v.in.network.Call(ctx, id, &peer.Form{})
 	if err != nil {
 		return err
@@ -45,7 +48,7 @@
 	v.disks.Store(formed.Disk, id)
 	members := node.Status().Members
 	if _, known := members.Find(formed.Disk); !known {
-		members.Members = append(members.Members, quorum.Member{ID: id, Disk: formed.Disk})
+		members.Members = append(members.Members, quorum.Member{ID: id, Disk: formed.Disk, Address: addr})
 		if err := node.Change(ctx, members); err != nil {
 			return err
 		}
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -14,7 +14,9 @@
 
 	"github.com/hickoryridge/hickoryridge/caller"
 	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
 	"github.com/hickoryridge/hickoryridge/internal/duty"
 	"github.com/hickoryridge/hickoryridge/operator"
 	"github.com/hickoryridge/hickoryridge/platform"
@@ -31,17 +33,25 @@
 )
 
 func (in *Instance) serveCallers(ctx context.Context) error {
+	l := in.listeners.callers
+	if in.callerTLS != nil {
+		l = tls.NewListener(l, in.callerTLS)
+	}
+	return in.serve(ctx, l, in.callerHandler())
+}
+
+// callerHandler serves callers by the protocol that the settings name.
+func (in *Instance) callerHandler() http.Handler {
+	if in.settings.Wire == settings.WirePlatform {
+		return &platform.Callers{Gate: in.gate, Dispatcher: in.dispatcher, MaxBody: in.settings.BodyLimit()}
+	}
 	r := chi.NewRouter()
 	in.health().Mount(r)
 	caller.New(caller.Config{
 		Gate: in.gate, Dispatcher: in.dispatcher, Receipts: in.leader,
 		MaxBody: in.settings.BodyLimit(), Log: in.log,
 	}).Mount(r)
-	l := in.listeners.callers
-	if in.callerTLS != nil {
-		l = tls.NewListener(l, in.callerTLS)
-	}
-	return serve(ctx, l, r)
+	return r
 }
 
 func (in *Instance) serveControl(ctx context.Context) error {
@@ -50,7 +60,22 @@
 	r.Method(http.MethodGet, "/metrics", in.metrics.Handler())
 	operator.New(operator.Config{Leader: in.leader, Targets: in.fleet.Records, Local: in.localStatus, Log: in.log}).Mount(r)
 	target.NewIntake(func(a target.Announcement) { in.fleet.Announce(clock.Now(), a) }).Mount(r)
-	return serve(ctx, in.listeners.control, r)
+	seed.Mount(r, in.tellSeed)
+	if in.settings.Wire == settings.WirePlatform {
+		in.mountPlatform(r)
+	}
+	return in.serve(ctx, in.listeners.control, r)
+}
+
+// mountPlatform adds the users' platform's calls of targets and operators.
+func (in *Instance) mountPlatform(r chi.Router) {
+	as := &platform.Announcements{
+		Domains: in.settings.Domains, Lease: in.settings.TargetLease(), Log: in.log,
+		Take:  func(a target.Announcement) { in.fleet.Announce(clock.Now(), a) },
+		Leave: func(id ident.TargetID, start ident.Incarnation) { in.fleet.Leave(clock.Now(), id, start) },
+	}
+	as.Mount(r)
+	(&platform.Operator{Leader: in.leader, Log: in.log}).Mount(r)
 }
 
 func (in *Instance) health() *platform.Health {
@@ -90,7 +115,7 @@
 }
 
 // serve answers HTTP until ctx ends, then lets running handlers end.
-func serve(ctx context.Context, l net.Listener, h http.Handler) error {
+func (in *Instance) serve(ctx context.Context, l net.Listener, h http.Handler) error {
 	server := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
 	}
--- a/instance/voter.go
+++ b/instance/voter.go
@@ -144,6 +144,11 @@
 	})
 	node.Start(g)
 	coordinator.Start(g)
+	if len(v.in.seeds()) > 0 {
+		g.Go("voter follow", v.follow)
+		g.Go("voter join", v.join)
+		g.Go("voter reap", v.reap)
+	}
 	v.node.Store(node)
 	v.coordinator.Store(coordinator)
 	return nil
--- a/leader/coordinator.go
+++ b/leader/coordinator.go
@@ -164,6 +164,10 @@
 	if v.Version > ask.Version {
 		g.View = &v
 	}
+	if st := co.cfg.Node.Status(); st.Changed != ask.Roster {
+		roster := peer.RosterOf(st)
+		g.Roster = &roster
+	}
 	return g, nil
 }
 
--- a/peer/accept.go
+++ b/peer/accept.go
@@ -110,7 +110,7 @@
 	if !ok {
 		return fault.New(fault.FrameInvalid, "connection did not begin with a hello")
 	}
-	if _, known := in.n.links[h.Instance]; !known {
+	if !in.n.cfg.Open && in.n.link(h.Instance) == nil {
 		return fault.New(fault.Unauthorized, "no instance is named %q", h.Instance)
 	}
 	in.from = h.Instance
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -22,7 +22,7 @@
 )
 
 // Version is the version of the frame format and of the messages in it.
-const Version = 2
+const Version = 3
 
 const (
 	magic       = 0x4852 // "HR"
--- a/peer/message.go
+++ b/peer/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
 	"github.com/hickoryridge/hickoryridge/quorum"
 	"github.com/hickoryridge/hickoryridge/state"
 	"github.com/hickoryridge/hickoryridge/target"
@@ -94,6 +95,7 @@
 	Leaving  bool                       `msgpack:"leaving"` // the instance takes no new calls
 	Busy     []ident.TargetID           `msgpack:"busy"`    // draining engines with requests of the instance
 	Hold     bool                       `msgpack:"hold"`    // the answer may wait for a new view
+	Roster   quorum.Index               `msgpack:"roster"`  // of the membership that the instance knows
 }
 
 // Grant answers a Lease. The lease counts from the sending of the Lease.
@@ -102,6 +104,24 @@
 	Version  state.Version `msgpack:"version"`
 	View     *state.View   `msgpack:"view,omitempty"` // if it is newer than the instance's
 	Claims   []state.Claim `msgpack:"claims"`         // old open receipts of the instance's run
+	Roster   *Roster       `msgpack:"roster"`         // if it is newer than the instance's
+}
+
+// Roster is the membership of the quorum, for those who have to find its leader.
+type Roster struct {
+	Changed quorum.Index    `msgpack:"changed"` // of the entry that brought it
+	Members []seed.Instance `msgpack:"members"`
+}
+
+// RosterOf returns the members that others can reach by an address.
+func RosterOf(st quorum.Status) Roster {
+	r := Roster{Changed: st.Changed}
+	for _, m := range st.Members.Members {
+		if m.Address != "" {
+			r.Members = append(r.Members, seed.Instance{ID: m.ID, Address: m.Address})
+		}
+	}
+	return r
 }
 
 // Table asks for what the receiver has heard from targets since a cursor.
@@ -138,6 +158,7 @@
 type Member struct {
 	Instance ident.InstanceID `msgpack:"instance"`
 	Change   MemberChange     `msgpack:"change"`
+	Address  string           `msgpack:"address"` // of an instance that asks to be added; empty where settings list it
 }
 
 // Done answers a call that has no other result.
--- a/peer/network.go
+++ b/peer/network.go
@@ -13,6 +13,7 @@
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/duty"
+	"github.com/hickoryridge/hickoryridge/internal/net/tcp"
 	"github.com/hickoryridge/hickoryridge/internal/ring"
 )
 
@@ -21,6 +22,8 @@
 	outputRing   = 4096
 	maxCalls     = 1024 // calls that one connection may have running here
 	dialTimeout  = 2 * time.Second
+	silence      = 2 * time.Second // for which a connection may leave data unacknowledged
+	probeEvery   = 1 * time.Second
 	helloTimeout = 5 * time.Second
 	writeTimeout = 5 * time.Second
 	redialMin    = 50 * time.Millisecond
@@ -28,6 +31,9 @@
 	bufferBytes  = 64 << 10
 )
 
+// Connection bounds the silence of connections between instances.
+var Connection = tcp.Options{Dial: dialTimeout, Silence: silence, Probe: probeEvery}
+
 // Handler answers the messages of other instances. A nil body is no reply. It
 // must end when ctx does.
 type Handler func(ctx context.Context, from ident.InstanceID, b Body) (Body, error)
@@ -36,7 +42,8 @@
 type Config struct {
 	Self    Hello
 	Listen  net.Listener
-	Peers   map[ident.InstanceID]string // addresses, without this instance
+	Peers   map[ident.InstanceID]string // addresses that are known at the start, without this instance
+	Open    bool                        // instances that are not among the peers may connect
 	TLS     *tls.Config                 // nil means plain TCP
 	Handler Handler
 	Log     *logrus.Entry
@@ -45,33 +52,101 @@
 // Network holds the connections to every other instance.
 type Network struct {
 	cfg     Config
-	links   map[ident.InstanceID]*link
 	traffic traffic
+
+	mu    sync.RWMutex
+	links map[ident.InstanceID]*link
+	group *duty.Group // of the links; nil before Start
 }
 
 // NewNetwork returns a network. Start runs it.
 func NewNetwork(cfg Config) *Network {
 	n := &Network{cfg: cfg, links: map[ident.InstanceID]*link{}}
 	for id, addr := range cfg.Peers {
-		n.links[id] = &link{
-			n: n, peer: id, addr: addr,
-			out:     ring.New[[]byte]("peer "+string(id), outputRing),
-			waiting: map[uint64]chan Envelope{},
-		}
+		n.links[id] = newLink(n, id, addr)
 	}
 	return n
 }
 
+func newLink(n *Network, id ident.InstanceID, addr string) *link {
+	return &link{
+		n: n, peer: id, addr: addr, stop: func() {},
+		out:     ring.New[[]byte]("peer "+string(id), outputRing),
+		waiting: map[uint64]chan Envelope{},
+	}
+}
+
+// SetPeer makes an instance a peer at an address, or changes its address.
+func (n *Network) SetPeer(id ident.InstanceID, addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	old := n.links[id]
+	if id == n.cfg.Self.Instance || old != nil && old.addr == addr {
+		return
+	}
+	if old != nil {
+		old.stop()
+	}
+	l := newLink(n, id, addr)
+	n.links[id] = l
+	n.startLink(l)
+}
+
+// startLink runs a link until it is stopped. n.mu is held.
+func (n *Network) startLink(l *link) {
+	if n.group == nil {
+		return // Start does it
+	}
+	ctx, cancel := context.WithCancel(n.group.Context())
+	l.stop = cancel
+	n.group.Go("peer link "+string(l.peer), func(context.Context) error {
+		defer cancel()
+		return l.run(ctx)
+	})
+}
+
+// Forget ends the connection to a peer.
+func (n *Network) Forget(id ident.InstanceID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l := n.links[id]; l != nil {
+		l.stop()
+		delete(n.links, id)
+	}
+}
+
+// Connected reports whether the connection to a peer stands.
+func (n *Network) Connected(id ident.InstanceID) bool {
+	l := n.link(id)
+	if l == nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.up
+}
+
+func (n *Network) link(id ident.InstanceID) *link {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.links[id]
+}
+
 // Start adds the network's duties to g.
 func (n *Network) Start(g *duty.Group) {
 	g.Go("peer listen", func(ctx context.Context) error { return n.listen(ctx) })
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.group = g
 	for _, l := range n.links {
-		g.Go("peer link "+string(l.peer), l.run)
+		n.startLink(l)
 	}
 }
 
 // Peers returns the ids of the other instances.
 func (n *Network) Peers() []ident.InstanceID {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
 	var ids []ident.InstanceID
 	for id := range n.links {
 		ids = append(ids, id)
@@ -81,7 +156,7 @@
 
 // Send sends b to an instance without a reply. What cannot be sent is dropped.
 func (n *Network) Send(to ident.InstanceID, b Body) {
-	l := n.links[to]
+	l := n.link(to)
 	if l == nil {
 		return
 	}
@@ -95,7 +170,7 @@
 // other side, fault.Overloaded if nothing was sent, fault.NoQuorum if the call may
 // have had its effect.
 func (n *Network) Call(ctx context.Context, to ident.InstanceID, b Body) (Body, error) {
-	l := n.links[to]
+	l := n.link(to)
 	if l == nil {
 		return nil, fault.New(fault.NotFound, "no instance is named %q", to)
 	}
@@ -108,6 +183,7 @@
 	peer ident.InstanceID
 	addr string
 	out  *ring.Ring[[]byte]
+	stop context.CancelFunc // ends the link: the instance is no peer any more, or elsewhere
 
 	mu      sync.Mutex
 	nextID  uint64
@@ -204,8 +280,7 @@
 }
 
 func (l *link) dial(ctx context.Context) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	c, err := d.DialContext(ctx, "tcp", l.addr)
+	c, err := tcp.Dial(ctx, l.addr, Connection)
 	if err != nil {
 		return nil, err
 	}
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -57,6 +57,7 @@
 	next      Index
 	round     Round // newest round that the member answered
 	snapshot  clock.Time
+	heard     clock.Time
 	rejected  bool // its disk lost acknowledged entries
 }
 
@@ -139,7 +140,7 @@
 	leader, _ := c.members.Find(c.leader)
 	return Status{
 		Role: c.role, Term: c.hard.Term, Leader: leader, Last: c.last(),
-		Commit: c.commit, Lease: c.leaseEnd(), First: c.First(), Members: c.members.clone(),
+		Commit: c.commit, Lease: c.leaseEnd(), First: c.First(), Members: c.members.clone(), Changed: c.membersIndex,
 	}
 }
 
@@ -159,6 +160,7 @@
 	Match    Index
 	CaughtUp bool
 	Rejected bool
+	Heard    clock.Time // its latest answer, or the beginning of this leadership
 }
 
 // MemberStates returns the leader's view of every member, or nil elsewhere.
@@ -181,6 +183,7 @@
 			Match:    match,
 			CaughtUp: match+promotionBacklog >= c.last() && match >= c.termStart,
 			Rejected: p.rejected,
+			Heard:    p.heard,
 		})
 	}
 	return states
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -16,7 +16,7 @@
 	c.lease = 0
 	c.quorumAt = now
 	c.transferred = 0
-	c.syncProgress()
+	c.syncProgress(now)
 	c.termStart = c.last() + 1
 	c.appendOwn([]Entry{{Kind: EntryNone}})
 	c.broadcast(now)
@@ -24,10 +24,10 @@
 }
 
 // syncProgress makes the table of members follow the membership.
-func (c *Core) syncProgress() {
+func (c *Core) syncProgress(now clock.Time) {
 	for _, m := range c.members.Members {
 		if c.progress[m.Disk] == nil {
-			c.progress[m.Disk] = &progress{next: c.last() + 1}
+			c.progress[m.Disk] = &progress{next: c.last() + 1, heard: now}
 		}
 	}
 	for d := range c.progress {
@@ -128,6 +128,7 @@
 		return
 	}
 	ack := m.Ack
+	p.heard = now
 	p.round = max(p.round, ack.Round)
 	if ack.Accepted {
 		c.acknowledge(now, p, m)
@@ -304,7 +305,7 @@
 	c.emit(Appended{ID: ev.ID, Index: c.last() + 1, Term: c.hard.Term})
 	c.members = ev.Members.clone()
 	c.membersIndex = c.last() + 1
-	c.syncProgress()
+	c.syncProgress(now)
 	c.appendOwn([]Entry{{Kind: EntryMembers, Members: c.members}})
 	c.broadcast(now)
 }
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -25,6 +25,8 @@
 	ID    ident.InstanceID `msgpack:"id"`
 	Disk  ident.DiskID     `msgpack:"disk"`
 	Voter bool             `msgpack:"voter"`
+	// Address is where the other instances reach it; empty where settings list them.
+	Address string `msgpack:"address,omitempty"`
 }
 
 // Membership is the set of replicas in force.
@@ -304,4 +306,5 @@
 	Lease   clock.Time // end of the leader lease; zero if none
 	First   bool       // no earlier leader can have committed anything
 	Members Membership
+	Changed Index // of the entry that brought Members
 }
--- /dev/null
+++ b/router/part.go
@@ -0,0 +1,49 @@
+package router
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickoryridge/hickoryridge/ident"
+)
+
+// Part is a part of a prompt that other prompts may share, such as a customer's
+// history. A target that has a part in its cache has it whole, and only behind all
+// parts before it.
+type Part struct {
+	ID     string
+	Tokens ident.Tokens
+}
+
+// PartTokens returns the length of a prompt that is given in parts.
+func PartTokens(parts []Part) ident.Tokens {
+	var n ident.Tokens
+	for _, p := range parts {
+		n += p.Tokens
+	}
+	return n
+}
+
+// PartPieces appends the chained hashes of the pieces of a prompt that is given in
+// parts. The last part is the request's own and is not shared.
+func PartPieces(dst []uint64, parts []Part) []uint64 {
+	var previous [8]byte
+	var d xxhash.Digest
+	pieces, tokens := 0, ident.Tokens(0)
+	for i, p := range parts {
+		if i == len(parts)-1 {
+			break
+		}
+		tokens += p.Tokens
+		for ; (ident.Tokens(pieces)+1)*PieceTokens <= tokens+PieceTokens/2; pieces++ {
+			d.Reset()
+			_, _ = d.Write(previous[:]) // xxhash never fails
+			_, _ = d.WriteString(p.ID)
+			h := d.Sum64()
+			dst = append(dst, h)
+			binary.LittleEndian.PutUint64(previous[:], h)
+		}
+	}
+	return dst
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,6 +6,7 @@
 package settings
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -16,6 +17,7 @@
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/strict"
+	"github.com/hickoryridge/hickoryridge/target"
 )
 
 // Settings is the whole settings file.
@@ -23,15 +25,27 @@
 	Instance ident.InstanceID `json:"instance"`
 	Region   ident.RegionID   `json:"region"`
 	Domain   ident.DomainID   `json:"domain"`
-	Callers  string           `json:"callers"`        // address for callers
+	Callers  string           `json:"callers"`        // address for callers; empty if the instance serves none
 	Control  string           `json:"control"`        // address for operators, targets and the platform
 	Peer     string           `json:"peer"`           // address for other instances
 	Data     string           `json:"data,omitempty"` // data folder; makes the instance a voter
 	Peers    []Peer           `json:"peers,omitempty"`
-	TLS      TLS              `json:"tls,omitzero"`
-	Limits   Limits           `json:"limits,omitzero"`
-	Timing   Timing           `json:"timing,omitzero"`
-	Log      Log              `json:"log,omitzero"`
+	// Seeds are control addresses through which an instance finds the voters, in place
+	// of listed peers. They may change while it runs.
+	Seeds []string `json:"seeds,omitempty"`
+	// Found tells that the whole system starts for the first time: the voters among the
+	// seeds found the quorum.
+	Found bool `json:"found,omitempty"`
+	// Wire names the protocol of callers, targets and operators; empty means the
+	// project's own.
+	Wire string `json:"wire,omitempty"`
+	// Domains gives the region of each failure domain, for targets that tell their
+	// domain only.
+	Domains map[ident.DomainID]ident.RegionID `json:"domains,omitempty"`
+	TLS     TLS                               `json:"tls,omitzero"`
+	Limits  Limits                            `json:"limits,omitzero"`
+	Timing  Timing                            `json:"timing,omitzero"`
+	Log     Log                               `json:"log,omitzero"`
 }
 
 // Peer is another instance.
@@ -61,6 +75,7 @@
 type Limits struct {
 	Running int         `json:"running,omitempty"` // requests in progress; 0 means DefaultRunning
 	Body    ident.Bytes `json:"body,omitempty"`    // longest request body; 0 means DefaultBody
+	Memory  ident.Bytes `json:"memory,omitempty"`  // memory that the runtime tries to stay within; 0 means no bound
 }
 
 // Defaults of Limits.
@@ -73,8 +88,17 @@
 type Timing struct {
 	Stop desired.Duration `json:"stop,omitempty"` // longest wait for requests in progress at a stop; 0 means no bound
 	Idle desired.Duration `json:"idle,omitempty"` // longest silence within a stream; 0 means DefaultIdle
+	// Linger is how long a stopping instance still takes requests while it says that it is
+	// not ready, so that a balancer can take it out first.
+	Linger desired.Duration `json:"linger,omitempty"`
+	// Lease is how long a target counts as there after each announcement, where its
+	// protocol has no lease of its own.
+	Lease desired.Duration `json:"lease,omitempty"`
 }
 
+// WirePlatform is the users' platform; see package platform.
+const WirePlatform = "platform"
+
 // DefaultIdle is the longest silence within a stream.
 const DefaultIdle = 10 * time.Second
 
@@ -125,16 +149,47 @@
 	return time.Duration(s.Timing.Idle)
 }
 
-// Load reads a settings file. The faults are empty if it can be used.
-func Load(path string) (*Settings, strict.Faults, error) {
+// Variable is the environment variable that names the settings file where no flag does.
+const Variable = "HICKORYRIDGE_SETTINGS"
+
+// TargetLease returns how long a target counts as there after an announcement that
+// names no lease.
+func (s *Settings) TargetLease() time.Duration {
+	if s.Timing.Lease == 0 {
+		return target.MaxLease
+	}
+	return time.Duration(s.Timing.Lease)
+}
+
+// Load reads a settings file. The faults are empty if it can be used. A file that
+// someone else fills in may have fields that this version does not know.
+func Load(path string, foreign bool) (*Settings, strict.Faults, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, nil, fault.Wrap(fault.NotFound, err)
 	}
-	s, faults := Parse(data)
+	parse := Parse
+	if foreign {
+		parse = ParseForeign
+	}
+	s, faults := parse(data)
 	return s, faults, nil
 }
 
+// ParseForeign decodes and validates settings that may have unknown fields.
+func ParseForeign(data []byte) (*Settings, strict.Faults) {
+	var s Settings
+	var fs strict.Faults
+	if err := json.Unmarshal(data, &s); err != nil {
+		fs.Add(strict.Root, "%v", err)
+		return nil, fs
+	}
+	if fs := s.validate(); len(fs) > 0 {
+		return nil, fs
+	}
+	return &s, nil
+}
+
 // Parse decodes and validates settings.
 func Parse(data []byte) (*Settings, strict.Faults) {
 	var s Settings
@@ -157,8 +212,18 @@
 			fs.Add(f.path, "is missing")
 		}
 	}
-	addresses := []struct{ path, value string }{
-		{"$.callers", s.Callers}, {"$.control", s.Control}, {"$.peer", s.Peer},
+	addresses := []struct{ path, value string }{{"$.control", s.Control}, {"$.peer", s.Peer}}
+	if s.Callers != "" || !s.Voter() {
+		addresses = append(addresses, struct{ path, value string }{"$.callers", s.Callers})
+	}
+	for i, seed := range s.Seeds {
+		checkAddress(&fs, fmt.Sprintf("$.seeds[%d]", i), seed)
+	}
+	if s.Wire != "" && s.Wire != WirePlatform {
+		fs.Add("$.wire", "want nothing or %q, not %q", WirePlatform, s.Wire)
+	}
+	if s.Timing.Linger < 0 || s.Timing.Lease < 0 || s.Limits.Memory < 0 {
+		fs.Add("$.timing", "linger, lease and limits.memory may not be negative")
 	}
 	for _, a := range addresses {
 		checkAddress(&fs, a.path, a.value)
@@ -196,7 +261,10 @@
 		seen[p.Instance] = true
 		checkAddress(fs, path+".address", p.Address)
 	}
-	if len(s.Voters()) == 0 {
+	if len(s.Peers) > 0 && len(s.Seeds) > 0 {
+		fs.Add("$.seeds", "peers are listed already")
+	}
+	if len(s.Seeds) == 0 && len(s.Voters()) == 0 {
 		fs.Add("$.peers", "no instance is a voter: name a data folder or mark a peer as voter")
 	}
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -12,7 +12,7 @@
 		t.Fatalf("%v, %d files", err, len(files))
 	}
 	for _, f := range files {
-		s, faults, err := Load(f)
+		s, faults, err := Load(f, false)
 		if err != nil || len(faults) > 0 {
 			t.Errorf("%s: %v %v", f, err, faults)
 			continue
--- a/state/command.go
+++ b/state/command.go
@@ -63,6 +63,9 @@
 	Number ident.Number `msgpack:"number"`
 	Digest ident.Digest `msgpack:"digest"`
 	Data   []byte       `msgpack:"data"` // canonical form, validated by the proposer
+	// Jump lets numbers jump: the highest one counts, and what comes under the present
+	// number or a lower one changes nothing.
+	Jump bool `msgpack:"jump,omitempty"`
 }
 
 // Applied tells which document a number stands for.
--- a/state/documents.go
+++ b/state/documents.go
@@ -1,6 +1,9 @@
 package state
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 )
@@ -10,7 +13,8 @@
 const keptDigests = 100_000
 
 // documents is the aggregate of the desired document. Its rules: numbers grow by
-// one, a number stands for one digest for ever, and what was accepted stays.
+// one, or by any step where an operator lets them jump; a number stands for one digest
+// for ever; and what was accepted stays.
 type documents struct {
 	number ident.Number
 	digest ident.Digest
@@ -25,13 +29,17 @@
 // apply takes a document. changed is false for a resend.
 func (ds *documents) apply(a ApplyDocument) (changed bool, err error) {
 	switch {
-	case a.Number == ds.number+1:
+	case a.Number == ds.number+1, a.Jump && a.Number > ds.number:
 		ds.number = a.Number
 		ds.digest = a.Digest
 		ds.data = a.Data
 		ds.past[a.Number] = a.Digest
-		delete(ds.past, a.Number-keptDigests)
+		if len(ds.past) > keptDigests {
+			delete(ds.past, slices.Min(slices.Collect(maps.Keys(ds.past))))
+		}
 		return true, nil
+	case a.Jump:
+		return false, nil
 	case a.Number > ds.number:
 		return false, fault.New(fault.NumberGap, "number %d does not follow %d", a.Number, ds.number)
 	}
--- a/target/listing.go
+++ b/target/listing.go
@@ -180,7 +180,7 @@
 	heard := make([]Heard, 0, len(l.Full)+len(l.Heartbeats))
 	take := func(a Announcement, remaining time.Duration) {
 		before, _ := t.Get(a.Target)
-		t.Take(now, a, asked.Add(min(remaining, MaxLease)), false)
+		t.Take(now, a, asked.Add(min(remaining, t.longest)), false)
 		heard = append(heard, Heard{a.Target, before})
 	}
 	for _, f := range l.Full {
--- a/target/table.go
+++ b/target/table.go
@@ -29,6 +29,7 @@
 // Table is the set of known targets. It holds no lock and reads no clock.
 type Table struct {
 	run      RunID
+	longest  time.Duration // lease
 	records  map[ident.TargetID]*Record
 	revision uint64 // direct announcements so far
 	numbers  uint32 // given to targets so far
@@ -36,11 +37,17 @@
 }
 
 // NewTable returns an empty table of the given run, which is not 0 and differs from
-// those of earlier runs.
+// those of earlier runs. No lease is taken as longer than MaxLease.
 func NewTable(run RunID) *Table {
-	return &Table{run: run, records: map[ident.TargetID]*Record{}, sources: map[ident.InstanceID]*source{}}
+	return &Table{run: run, longest: MaxLease, records: map[ident.TargetID]*Record{}, sources: map[ident.InstanceID]*source{}}
 }
 
+// SetLongest sets the bound on leases. Every instance has to have the same one.
+func (t *Table) SetLongest(d time.Duration) { t.longest = d }
+
+// Longest returns the bound on leases.
+func (t *Table) Longest() time.Duration { return t.longest }
+
 // Take records an announcement that holds until expires, unless the table holds a
 // newer one.
 func (t *Table) Take(now clock.Time, a Announcement, expires clock.Time, direct bool) {
