--- a/instance/instance.go
+++ b/instance/instance.go
@@ -94,9 +94,7 @@
 	if err := in.listen(); err != nil {
 		return nil, err
 	}
-	in.fleet = dispatch.NewFleet(router.Config{
-		Region: s.Region, Domain: s.Domain, Links: router.DefaultLinks(), Seed: uint64(time.Now().UnixNano()), Noise: routeNoise,
-	}, in.gate, target.RunID(rand.Uint64()|1))
+	in.fleet = dispatch.NewFleet(routing(s), in.gate, target.RunID(rand.Uint64()|1))
 	in.fleet.SetLease(s.TargetLease())
 	in.targets = http1.New(http1.Options{})
 	peers := map[ident.InstanceID]string{}
@@ -126,6 +124,18 @@
 	return in, nil
 }
 
+// routing returns the configuration of the router.
+func routing(s *settings.Settings) router.Config {
+	links := router.DefaultLinks()
+	if s.Routing.Cross > 0 {
+		links.CrossPrice = s.Routing.Cross.Span()
+	}
+	return router.Config{
+		Region: s.Region, Domain: s.Domain, Links: links, Seed: uint64(time.Now().UnixNano()), Noise: routeNoise,
+		Handover: s.Routing.Handover.Span(), Move: s.Routing.Move.Span(), Homes: s.Routing.Homes, Spread: s.Routing.Spread,
+	}
+}
+
 func (in *Instance) listen() error {
 	for _, l := range []struct {
 		addr string
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -13,6 +13,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/hickoryridge/hickoryridge/caller"
+	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
@@ -71,6 +72,9 @@
 func (in *Instance) mountPlatform(r chi.Router) {
 	as := &platform.Announcements{
 		Domains: in.settings.Domains, Lease: in.settings.TargetLease(), Log: in.log,
+		Rates: map[desired.Role]ident.TokensPerSecond{
+			desired.RolePrefill: in.settings.Routing.Prefill, desired.RoleMixed: in.settings.Routing.Mixed,
+		},
 		Take:  func(a target.Announcement) { in.fleet.Announce(clock.Now(), a) },
 		Leave: func(id ident.TargetID, start ident.Incarnation) { in.fleet.Leave(clock.Now(), id, start) },
 	}
--- a/router/reserve.go
+++ b/router/reserve.go
@@ -23,6 +23,10 @@
 	}
 	r.stale = false
 	clear(r.reserved)
+	r.findCandidates()
+	if r.cfg.Spread {
+		return
+	}
 	count := map[int32]int{}
 	for i := range r.slots {
 		s, d := &r.slots[i], &r.details[i]
--- a/router/router.go
+++ b/router/router.go
@@ -56,6 +56,15 @@
 	Domain ident.DomainID
 	Links  Links
 	Seed   uint64
+	// Handover is the fixed part of the time that a prompt processed at one engine takes on
+	// its way to another.
+	Handover time.Duration
+	// Move is the time in which a thousand tokens of KV cache move between engines of a region.
+	Move time.Duration
+	// Homes tells that the instances agree on an engine for each shared prompt; see home.
+	Homes bool
+	// Spread tells that no prefill engine is kept for short prompts; see reserve.
+	Spread bool
 	// Noise is the part of a request's own cost by which equal choices are spread,
 	// so that instances with the same reports do not all choose the same target.
 	Noise float64
@@ -117,10 +126,11 @@
 	regions   names[ident.RegionID]
 	region    int32 // of this instance
 	groups    []*group
-	byService [][]int32       // groups of each service
-	shares    []shares        // by service
-	reserved  map[int32]int32 // the engine kept for short prompts, by service
-	stale     bool            // the reserved engines have to be found anew
+	byService [][]int32         // groups of each service
+	shares    []shares          // by service
+	reserved  map[int32]int32   // the engine kept for short prompts, by service
+	stale     bool              // the reserved engines and the candidates for homes have to be found anew
+	homes     map[int32][]int32 // usable engines of each service
 	prefixes  *prefixes
 	depth     []int32 // scratch: pieces of the prompt that a slot has
 	touched   []int32 // scratch: slots with a depth
@@ -133,7 +143,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 2)),
 		byID: map[ident.TargetID]int32{}, services: names[ident.ServiceID]{},
 		versions: names[string]{}, regions: names[ident.RegionID]{}, prefixes: newPrefixes(),
-		reserved: map[int32]int32{},
+		reserved: map[int32]int32{}, homes: map[int32][]int32{},
 	}
 	r.region = r.regions.of(cfg.Region)
 	return r
@@ -146,6 +156,7 @@
 	prefill                       float64 // prompt tokens to process
 	prompt                        float64
 	price                         float64 // seconds for carrying the prompt between regions
+	move                          float64 // seconds for moving the KV cache of a token
 	kept                          int32   // the reserved engine, -1 if none
 	reserved, others              float64 // what the reservation adds there and elsewhere, in seconds
 }
@@ -157,6 +168,8 @@
 	}
 	if req.Need != NeedDecode {
 		w.prefill = w.prompt
+	} else {
+		w.move = r.cfg.Move.Seconds() / 1000
 	}
 	w.price = max(0, w.prompt-float64(PieceTokens)) / 1000 * r.cfg.Links.CrossPrice.Seconds()
 	if req.Version != "" {
@@ -203,6 +216,7 @@
 		return Choice{}, false
 	}
 	r.markDepths(req.Pieces)
+	r.markHomes(req.Pieces, &w)
 	best := found{-1, math.Inf(1)}
 	if w.kept >= 0 {
 		r.consider(w.kept, &w, &best)
@@ -260,13 +274,32 @@
 // target, in seconds.
 func (r *Router) cost(s *slot, depth int32, w *wanted) float64 {
 	own := s.uncached(depth, w) * s.pace
-	cost := s.base + own + w.carry(s.region, s.cross)
+	cost := s.base + own + w.carry(s.region, s.cross) + s.moved(depth, w)
+	if w.need == NeedPrefill && s.roles&(1<<NeedDecode) == 0 {
+		cost += r.cfg.Handover.Seconds()
+	}
 	if r.cfg.Noise > 0 {
 		cost += r.rng.Float64() * r.cfg.Noise * (own + runningCost)
 	}
 	return cost
 }
 
+// moved returns the seconds for moving the KV cache that a target lacks. Between regions
+// the links are slower.
+func (s *slot) moved(depth int32, w *wanted) float64 {
+	if w.move == 0 {
+		return 0
+	}
+	lacks := max(0, w.prompt-float64(depth)*float64(PieceTokens)*s.trust)
+	if w.from != 0 && w.from != s.region {
+		lacks *= crossMoves
+	}
+	return lacks * w.move
+}
+
+// crossMoves is how many times longer KV cache takes between regions.
+const crossMoves = 10
+
 // choice describes a slot as chosen.
 func (r *Router) choice(i int32, w *wanted) Choice {
 	s, d := &r.slots[i], &r.details[i]
--- a/router/slots.go
+++ b/router/slots.go
@@ -26,6 +26,7 @@
 // detail is what a choice need not look at.
 type detail struct {
 	target Target
+	hash   uint64 // of the target's name
 	report Report
 	past   history
 	gen    uint32
@@ -69,6 +70,7 @@
 	}
 	r.stale = true
 	r.details[i].target = t
+	r.details[i].hash = hashOf(t)
 	r.details[i].known = true
 	s, d := &r.slots[i], &r.details[i]
 	if ok {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -44,6 +44,7 @@
 	Domains map[ident.DomainID]ident.RegionID `json:"domains,omitempty"`
 	TLS     TLS                               `json:"tls,omitzero"`
 	Limits  Limits                            `json:"limits,omitzero"`
+	Routing Routing                           `json:"routing,omitzero"`
 	Timing  Timing                            `json:"timing,omitzero"`
 	Log     Log                               `json:"log,omitzero"`
 }
@@ -102,6 +103,21 @@
 // DefaultIdle is the longest silence within a stream.
 const DefaultIdle = 10 * time.Second
 
+// Routing tells what the choice of a target weighs.
+type Routing struct {
+	// Cross is the time that a thousand prompt tokens carried to another region are
+	// worth; 0 means the router's default.
+	Cross    desired.Duration `json:"cross,omitempty"`
+	Handover desired.Duration `json:"handover,omitempty"` // fixed time of moving a prompt's KV cache to another engine
+	Move     desired.Duration `json:"move,omitempty"`     // of a thousand tokens of KV cache between engines
+	Homes    bool             `json:"homes,omitempty"`    // shared prompts have homes that all instances agree on
+	Spread   bool             `json:"spread,omitempty"`   // no engine is reserved for short prompts
+	// Prefill and Mixed are the rates of engines of these roles that report none, in
+	// prompt tokens a second.
+	Prefill ident.TokensPerSecond `json:"prefill,omitempty"`
+	Mixed   ident.TokensPerSecond `json:"mixed,omitempty"`
+}
+
 // Log sets the log.
 type Log struct {
 	Level string `json:"level,omitempty"` // debug, info, warn or error
@@ -222,6 +238,9 @@
 	if s.Wire != "" && s.Wire != WirePlatform {
 		fs.Add("$.wire", "want nothing or %q, not %q", WirePlatform, s.Wire)
 	}
+	if s.Routing.Cross < 0 || s.Routing.Handover < 0 || s.Routing.Move < 0 || s.Routing.Prefill < 0 || s.Routing.Mixed < 0 {
+		fs.Add("$.routing", "has a negative number")
+	}
 	if s.Timing.Linger < 0 || s.Timing.Lease < 0 || s.Limits.Memory < 0 {
 		fs.Add("$.timing", "linger, lease and limits.memory may not be negative")
 	}
