--- a/router/home.go
+++ b/router/home.go
@@ -1,9 +1,9 @@
 package router
 
 import (
-	"github.com/cespare/xxhash/v2"
+	"math"
 
-	"github.com/hickoryridge/hickoryridge/desired"
+	"github.com/cespare/xxhash/v2"
 )
 
 // Load pattern: thousands of long prompts share a few hundred long beginnings, and every
@@ -11,9 +11,8 @@
 // would have each beginning processed once for each instance, at different engines, where
 // they push each other out of the caches.
 //
-// So each beginning has a home among the prefill engines and one among the engines that
-// generate answers, found by rendezvous hashing: all instances that see the same engines
-// agree without a word, and an engine that comes or goes moves only its own part of the
+// So each beginning has a home, found by rendezvous hashing among the engines with their
+// prefill rates as weights: all instances that see the same engines agree without a word, and an engine that comes or goes moves only its own part of the
 // beginnings. An instance expects the beginning at its home, whoever sent it there. A home
 // is an expectation and no order: when its queue costs more than processing the beginning
 // elsewhere, the request goes elsewhere, and that place is remembered like any other.
@@ -38,22 +37,22 @@
 		return
 	}
 	beginning := pieces[len(pieces)-1]
-	prefill, answer := int32(-1), int32(-1)
-	var mostPrefill, mostAnswer uint64
+	home, most := int32(-1), 0.0
 	for _, i := range r.homes[w.service] {
-		weight := mix(beginning ^ r.details[i].hash)
-		if r.details[i].target.Role == desired.RolePrefill {
-			if prefill < 0 || weight > mostPrefill {
-				prefill, mostPrefill = i, weight
-			}
-			continue
-		}
-		if answer < 0 || weight > mostAnswer {
-			answer, mostAnswer = i, weight
+		d := &r.details[i]
+		if score := d.rate * weight(beginning^d.hash); home < 0 || score > most {
+			home, most = i, score
 		}
 	}
-	r.expect(prefill, len(pieces))
-	r.expect(answer, len(pieces))
+	r.expect(home, len(pieces))
+}
+
+// weight returns a number above 0 for a hash. The largest of several such numbers, each
+// times a factor, is each one's with a probability in proportion to its factor.
+func weight(h uint64) float64 {
+	const bits = 53 // of a float's fraction
+	u := (float64(mix(h)>>(64-bits)) + 0.5) / (1 << bits)
+	return -1 / math.Log(u)
 }
 
 // expect marks a slot as having n pieces of the prompt.
