--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -55,9 +55,10 @@
 	sent    int // targets that may have run it
 	vain    int // targets that were not reached
 	avoid   ident.TargetID
-	after   string // id of the last event that was delivered
-	begun   bool   // the answer has begun
-	began   bool   // its first byte is delivered
+	after   string     // id of the last event that was delivered
+	begun   bool       // the answer has begun
+	began   bool       // its first byte is delivered
+	first   clock.Time // delivery of the first byte
 	last    clock.Time
 	gone    error // the caller's end
 	unknown bool  // some attempt may have run
@@ -84,9 +85,19 @@
 		return r.fail(ctx, err)
 	}
 	d.cfg.Metrics.Answered("", ident.ClassID(f.Rule.Name), "ok")
+	r.finished()
 	return nil
 }
 
+// finished notes the end of a request that was answered whole.
+func (r *forwardRun) finished() {
+	r.d.cfg.Log.WithFields(logrus.Fields{
+		"event": "forwarded", "request": r.f.ID, "rule": r.f.Rule.Name, "service": r.f.Service, "target": r.avoid, "sent": r.sent,
+		"admitted": r.started.Sub(r.f.Arrived).Milliseconds(), "first": r.first.Sub(r.f.Arrived).Milliseconds(),
+		"ms": clock.Now().Sub(r.f.Arrived).Milliseconds(), "number": r.f.Config.Number,
+	}).Info("request answered")
+}
+
 // left returns the time until the request has to have its final answer.
 func (f *Forward) left(now clock.Time) time.Duration {
 	bound := f.Rule.Timeout.Span()
@@ -217,9 +228,20 @@
 		return nil, err
 	}
 	r.avoid = assigned.Choice.ID
+	r.placed(assigned, n)
 	return assigned, nil
 }
 
+// placed notes a choice and what decided it.
+func (r *forwardRun) placed(a *Assignment, n router.Need) {
+	c := a.Choice
+	r.d.cfg.Log.WithFields(logrus.Fields{
+		"event": "placed", "request": r.f.ID, "rule": r.f.Rule.Name, "target": c.ID, "need": n, "split": a.Split, "cross": c.Cross,
+		"expected": c.First.Milliseconds(), "wait": c.Wait.Milliseconds(), "prompt": r.prompt, "cached": c.Cached,
+		"at": clock.Now().Sub(r.f.Arrived).Milliseconds(), "number": r.f.Config.Number,
+	}).Info("target chosen")
+}
+
 func (r *forwardRun) call(a *Assignment) Call {
 	return Call{Request: r.f, Target: a.Choice.ID, Address: a.Address, Left: r.f.left(clock.Now()), After: r.after}
 }
@@ -336,6 +358,7 @@
 	r.free(max(0, clock.Now().Sub(r.started)-r.entered.Cost))
 	r.d.cfg.Metrics.First("", ident.ClassID(r.f.Rule.Name), clock.Now().Sub(r.f.Arrived))
 	r.begun = true
+	r.first = clock.Now()
 	if err := r.sink.Begin(answer.Status, answer.Header); err != nil {
 		r.gone = err
 		return err
@@ -396,6 +419,7 @@
 	class := ident.ClassID(r.f.Rule.Name)
 	if !r.began {
 		r.began = true
+		r.first = now
 		r.d.cfg.Metrics.First("", class, now.Sub(r.f.Arrived))
 	} else {
 		r.d.cfg.Metrics.Between("", class, now.Sub(r.last))
