instance: a leader that a client does not know comes with its address

Cause: joiners and entries that were told of a leader outside their roster asked for it for ever ("no instance is named"), so two of five voters never joined, and a cut of the other three stopped everything. Ruled out: disks, elections (the log shows leaders within 0.9 s).

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,6 +19,7 @@
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
 	"github.com/hickoryridge/hickoryridge/internal/duty"
 	"github.com/hickoryridge/hickoryridge/internal/net/tcp"
 	"github.com/hickoryridge/hickoryridge/internal/target/http1"
@@ -107,6 +108,7 @@
 	})
 	in.roster = &roster{self: s.Instance, network: in.network, voters: s.Voters()}
 	in.leader = &leaderClient{self: s.Instance, voters: in.roster.Voters, local: in.handle, call: in.network.Call}
+	in.leader.found = func(i seed.Instance) { in.roster.Add([]seed.Instance{i}) }
 	in.receipts = receipt.NewRunner(in.leader, in.log)
 	in.dispatcher = dispatch.New(dispatch.Config{
 		Instance: s.Instance, Boot: boot, Gate: in.gate, Fleet: in.fleet, Engines: in.engines,
--- a/instance/leaderclient.go
+++ b/instance/leaderclient.go
@@ -8,6 +8,7 @@
 
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/receipt"
 	"github.com/hickoryridge/hickoryridge/state"
@@ -27,6 +28,7 @@
 	voters func() []ident.InstanceID
 	local  peer.Handler
 	call   func(ctx context.Context, to ident.InstanceID, b peer.Body) (peer.Body, error)
+	found  func(seed.Instance) // takes the leader's address; nil where settings list it
 
 	mu   sync.Mutex
 	hint ident.InstanceID
@@ -111,6 +113,9 @@
 	var remote *peer.RemoteError
 	if errors.As(err, &remote) && remote.Failure.Leader != "" && remote.Failure.Leader != to {
 		c.hint = remote.Failure.Leader
+		if c.found != nil && remote.Failure.Address != "" {
+			c.found(seed.Instance{ID: remote.Failure.Leader, Address: remote.Failure.Address})
+		}
 	}
 }
 
--- /dev/null
+++ b/instance/leaderclient_test.go
@@ -0,0 +1,51 @@
+package instance
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
+	"github.com/hickoryridge/hickoryridge/peer"
+)
+
+// TestUnknownLeader checks that a client whose voters name a leader that it does not know
+// takes the address that comes along, and goes on to other voters when it has none.
+func TestUnknownLeader(t *testing.T) {
+	for name, test := range map[string]struct {
+		address string
+		answers ident.InstanceID // the one that leads in the end
+	}{
+		"with its address":    {"10.0.0.9:1", "new"},
+		"without its address": {"", "v2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				known := map[ident.InstanceID]bool{"v1": true, "v2": true}
+				began := time.Now()
+				c := &leaderClient{voters: func() []ident.InstanceID { return []ident.InstanceID{"v1", "v2"} }}
+				c.found = func(i seed.Instance) { known[i.ID] = true }
+				c.call = func(_ context.Context, to ident.InstanceID, _ peer.Body) (peer.Body, error) {
+					switch {
+					case !known[to]:
+						return nil, fault.WithRan(fault.New(fault.Overloaded, "no instance is named %q", to), fault.RanNo)
+					case to == test.answers && time.Since(began) > time.Second:
+						return &peer.Done{}, nil
+					default:
+						return nil, fault.Wrap(fault.NotLeader, &peer.RemoteError{Failure: peer.Failure{
+							Kind: fault.NotLeader, Leader: "new", Address: test.address,
+						}})
+					}
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				if err := c.Member(ctx, peer.Member{}); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
--- a/instance/voter.go
+++ b/instance/voter.go
@@ -196,7 +196,8 @@
 func (v *voter) notLeader() error {
 	f := peer.Failure{Kind: fault.NotLeader, Detail: "this instance does not lead"}
 	if node := v.node.Load(); node != nil {
-		f.Leader = node.Status().Leader.ID
+		leader := node.Status().Leader
+		f.Leader, f.Address = leader.ID, leader.Address
 	}
 	return fault.Wrap(fault.NotLeader, &peer.RemoteError{Failure: f})
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -52,6 +52,8 @@
 	Kind   fault.Kind       `msgpack:"kind"`
 	Detail string           `msgpack:"detail"`
 	Leader ident.InstanceID `msgpack:"leader"` // whom to ask instead, if known
+	// Address is where others reach the leader; empty where settings list it.
+	Address string `msgpack:"address"`
 }
 
 // Quorum carries one message of the quorum protocol, without a reply.
--- a/peer/network.go
+++ b/peer/network.go
@@ -172,7 +172,7 @@
 func (n *Network) Call(ctx context.Context, to ident.InstanceID, b Body) (Body, error) {
 	l := n.link(to)
 	if l == nil {
-		return nil, fault.New(fault.NotFound, "no instance is named %q", to)
+		return nil, fault.WithRan(fault.New(fault.Overloaded, "no instance is named %q", to), fault.RanNo)
 	}
 	return l.call(ctx, b)
 }
