--- a/instance/instance.go
+++ b/instance/instance.go
@@ -134,7 +134,7 @@
 	}
 	return router.Config{
 		Region: s.Region, Domain: s.Domain, Links: links, Seed: uint64(time.Now().UnixNano()), Noise: routeNoise,
-		Handover: s.Routing.Handover.Span(), Move: s.Routing.Move.Span(), Homes: s.Routing.Homes, Spread: s.Routing.Spread,
+		Handover: s.Routing.Handover.Span(), Move: s.Routing.Move.Span(), Reread: s.Routing.Reread.Span(), Homes: s.Routing.Homes, Spread: s.Routing.Spread,
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -61,6 +61,9 @@
 	Handover time.Duration
 	// Move is the time in which a thousand tokens of KV cache move between engines of a region.
 	Move time.Duration
+	// Reread is the time that a thousand tokens are worth which an engine has to process
+	// although another one has them in its cache.
+	Reread time.Duration
 	// Homes tells that the instances agree on an engine for each shared prompt; see home.
 	Homes bool
 	// Spread tells that no prefill engine is kept for short prompts; see reserve.
@@ -157,6 +160,8 @@
 	prompt                        float64
 	price                         float64 // seconds for carrying the prompt between regions
 	move                          float64 // seconds for moving the KV cache of a token
+	shared                        int32   // pieces of the prompt that others may have
+	reread                        float64 // seconds that a piece is worth which is processed again
 	kept                          int32   // the reserved engine, -1 if none
 	reserved, others              float64 // what the reservation adds there and elsewhere, in seconds
 }
@@ -164,10 +169,11 @@
 func (r *Router) wanted(req Request) wanted {
 	w := wanted{
 		service: r.services[req.Service], need: req.Need, avoid: -1, kept: -1,
-		prompt: float64(req.Prompt),
+		prompt: float64(req.Prompt), shared: int32(len(req.Pieces)),
 	}
 	if req.Need != NeedDecode {
 		w.prefill = w.prompt
+		w.reread = r.cfg.Reread.Seconds() / 1000 * float64(PieceTokens)
 	} else {
 		w.move = r.cfg.Move.Seconds() / 1000
 	}
@@ -274,7 +280,7 @@
 // target, in seconds.
 func (r *Router) cost(s *slot, depth int32, w *wanted) float64 {
 	own := s.uncached(depth, w) * s.pace
-	cost := s.base + own + w.carry(s.region, s.cross) + s.moved(depth, w)
+	cost := s.base + own + w.carry(s.region, s.cross) + s.moved(depth, w) + float64(w.shared-depth)*w.reread
 	if w.need == NeedPrefill && s.roles&(1<<NeedDecode) == 0 {
 		cost += r.cfg.Handover.Seconds()
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -110,6 +110,7 @@
 	Cross    desired.Duration `json:"cross,omitempty"`
 	Handover desired.Duration `json:"handover,omitempty"` // fixed time of moving a prompt's KV cache to another engine
 	Move     desired.Duration `json:"move,omitempty"`     // of a thousand tokens of KV cache between engines
+	Reread   desired.Duration `json:"reread,omitempty"`   // what a thousand tokens are worth that are processed again at another engine
 	Homes    bool             `json:"homes,omitempty"`    // shared prompts have homes that all instances agree on
 	Spread   bool             `json:"spread,omitempty"`   // no engine is reserved for short prompts
 	// Prefill and Mixed are the rates of engines of these roles that report none, in
@@ -238,7 +239,7 @@
 	if s.Wire != "" && s.Wire != WirePlatform {
 		fs.Add("$.wire", "want nothing or %q, not %q", WirePlatform, s.Wire)
 	}
-	if s.Routing.Cross < 0 || s.Routing.Handover < 0 || s.Routing.Move < 0 || s.Routing.Prefill < 0 || s.Routing.Mixed < 0 {
+	if s.Routing.Cross < 0 || s.Routing.Handover < 0 || s.Routing.Move < 0 || s.Routing.Reread < 0 || s.Routing.Prefill < 0 || s.Routing.Mixed < 0 {
 		fs.Add("$.routing", "has a negative number")
 	}
 	if s.Timing.Linger < 0 || s.Timing.Lease < 0 || s.Limits.Memory < 0 {
