--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -25,6 +25,9 @@
 	streamBuffer = 16 << 10
 	// releaseTime bounds the freeing of KV cache that nobody will use.
 	releaseTime = 1 * time.Second
+	// usefulPart is the part of its timeout within which a request is still worth an answer,
+	// though a late one.
+	usefulPart = 4
 	// maxUnreachable bounds the targets that a request tries in vain to reach.
 	maxUnreachable = 3
 )
@@ -144,12 +147,11 @@
 	return err
 }
 
-// objective returns the time until which an answer is worth waiting for.
+// objective returns the time until which an answer is worth waiting for. Refusing all that
+// would miss the objective itself turns away requests for which a late answer is still of use, while
+// the load swings faster than a refused caller comes back.
 func (r *forwardRun) objective() time.Duration {
-	if first := r.f.Rule.First.Span(); first > 0 {
-		return first
-	}
-	return r.f.Rule.Timeout.Span()
+	return max(r.f.Rule.First.Span(), r.f.Rule.Timeout.Span()/usefulPart)
 }
 
 // free gives back the request's place in the window, with its wait at the targets or
