--- a/dispatch/backend.go
+++ b/dispatch/backend.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
-	"github.com/hickoryridge/hickoryridge/internal/target/http1"
 	"github.com/hickoryridge/hickoryridge/router"
 )
 
@@ -52,7 +52,9 @@
 
 // Answered brings the beginning of the target's answer, whatever its status.
 type Answered struct {
-	Answer *http1.Answer
+	Status int
+	Header http.Header
+	Body   io.ReadCloser  // an error before its end means that it broke off
 	Load   *router.Report // as the answer tells it; nil if it does not
 }
 
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -14,7 +14,6 @@
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/target/event"
-	"github.com/hickoryridge/hickoryridge/internal/target/http1"
 	"github.com/hickoryridge/hickoryridge/router"
 )
 
@@ -274,15 +273,15 @@
 	if !ok {
 		return r.failed(ctx, a, outcome)
 	}
-	defer answered.Answer.Close()
+	defer func() { _ = answered.Body.Close() }() // read to its end or given up
 	r.sent++
 	if answered.Load != nil {
 		a.Report(*answered.Load)
 	}
-	if r.f.Rule.Stream && answered.Answer.Status < 300 {
-		return r.stream(ctx, a, answered.Answer)
+	if r.f.Rule.Stream && answered.Status < 300 {
+		return r.stream(ctx, a, answered)
 	}
-	return r.whole(ctx, a, answered.Answer)
+	return r.whole(ctx, a, answered)
 }
 
 // failed takes an outcome without an answer.
@@ -330,8 +329,8 @@
 }
 
 // whole reads an answer to its end before it passes it on.
-func (r *forwardRun) whole(ctx context.Context, a *Assignment, answer *http1.Answer) (again bool, err error) {
-	body, err := io.ReadAll(io.LimitReader(answer, maxWhole+1))
+func (r *forwardRun) whole(ctx context.Context, a *Assignment, answer Answered) (again bool, err error) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWhole+1))
 	if err == nil && len(body) > maxWhole {
 		err = fault.New(fault.TooLarge, "answer of more than %d bytes", maxWhole)
 	}
@@ -348,7 +347,7 @@
 
 // instead tries another target after one that answered with a failure, and delivers that
 // failure if there is nothing better.
-func (r *forwardRun) instead(ctx context.Context, answer *http1.Answer, body []byte) (again bool, err error) {
+func (r *forwardRun) instead(ctx context.Context, answer Answered, body []byte) (again bool, err error) {
 	r.unknown = true
 	if _, err := r.attempt(ctx); err == nil || r.begun || r.gone != nil {
 		return false, err
@@ -356,7 +355,7 @@
 	return false, r.deliver(answer, body)
 }
 
-func (r *forwardRun) deliver(answer *http1.Answer, body []byte) error {
+func (r *forwardRun) deliver(answer Answered, body []byte) error {
 	r.free(max(0, clock.Now().Sub(r.started)-r.entered.Cost))
 	r.d.cfg.Metrics.First("", ident.ClassID(r.f.Rule.Name), clock.Now().Sub(r.f.Arrived))
 	r.begun = true
@@ -383,11 +382,11 @@
 }
 
 // stream passes whole events on as they arrive.
-func (r *forwardRun) stream(ctx context.Context, a *Assignment, answer *http1.Answer) (again bool, err error) {
+func (r *forwardRun) stream(ctx context.Context, a *Assignment, answer Answered) (again bool, err error) {
 	var cutter event.Cutter
 	buf := make([]byte, streamBuffer)
 	for {
-		n, err := answer.Read(buf)
+		n, err := answer.Body.Read(buf)
 		cutter.Add(buf[:n])
 		if events, id := cutter.Take(); events != nil {
 			if id != "" {
@@ -416,7 +415,7 @@
 }
 
 // pass delivers events of the answer.
-func (r *forwardRun) pass(a *Assignment, answer *http1.Answer, events []byte) error {
+func (r *forwardRun) pass(a *Assignment, answer Answered, events []byte) error {
 	now := clock.Now()
 	class := ident.ClassID(r.f.Rule.Name)
 	if !r.began {
--- /dev/null
+++ b/internal/target/http1/client_test.go
@@ -0,0 +1,309 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+)
+
+// target is a stand-in that answers each request on a connection with the next of its
+// scripts.
+type target struct {
+	t        *testing.T
+	addr     string
+	requests chan *http.Request
+	accepted chan net.Conn
+}
+
+// script answers a request that was read from a connection. It reports whether the
+// connection goes on.
+type script func(c net.Conn, r *http.Request) bool
+
+func newTarget(t *testing.T, scripts ...script) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tg := &target{t: t, addr: l.Addr().String(), requests: make(chan *http.Request, 100), accepted: make(chan net.Conn, 100)}
+	t.Cleanup(func() { _ = l.Close() })
+	next := make(chan script, len(scripts))
+	for _, s := range scripts {
+		next <- s
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			tg.accepted <- c
+			go tg.serve(c, next)
+		}
+	}()
+	return tg
+}
+
+func (tg *target) serve(c net.Conn, next chan script) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		tg.requests <- req
+		if s := <-next; !s(c, req) {
+			return
+		}
+	}
+}
+
+// send writes raw bytes; ID stands for the request's id.
+func send(raw string) script {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, strings.ReplaceAll(raw, "ID", r.Header.Get("Id")))
+		return true
+	}
+}
+
+// sendAndEnd writes raw bytes and closes the connection.
+func sendAndEnd(raw string) script {
+	return func(c net.Conn, r *http.Request) bool {
+		send(raw)(c, r)
+		return false
+	}
+}
+
+// reset closes the connection with a reset.
+func reset(c net.Conn, _ *http.Request) bool {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+const whole = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok"
+
+func ask(id string) *Request {
+	return &Request{
+		Method: http.MethodPost, URI: "/a?b=c", Host: "host.example", Header: http.Header{"Id": {id}}, Body: []byte("body"),
+		Mine: func(h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+// outcome sends a request and says what became of it.
+func outcome(t *testing.T, c *Client, addr, id string) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	answer, err := c.Do(ctx, addr, ask(id))
+	var notSent *NotSentError
+	var unknown *UnknownError
+	switch {
+	case errors.As(err, &notSent):
+		return "not sent"
+	case errors.As(err, &unknown):
+		return "unknown"
+	case err != nil:
+		return err.Error()
+	}
+	defer func() { _ = answer.Close() }()
+	body, err := io.ReadAll(answer)
+	if err != nil {
+		return fmt.Sprintf("broken after %d", len(body))
+	}
+	return fmt.Sprintf("%d %s", answer.Status, body)
+}
+
+// TestOutcomes lets targets answer in ways that a careless client takes for something
+// else.
+func TestOutcomes(t *testing.T) {
+	for name, test := range map[string]struct {
+		scripts []script
+		want    []string // of requests one after the other
+		conns   int      // that the target has seen in the end
+	}{
+		"kept":                   {[]script{send(whole), send(whole)}, []string{"200 ok", "200 ok"}, 1},
+		"chunked":                {[]script{send("HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), send(whole)}, []string{"200 ok", "200 ok"}, 1},
+		"chunked, cut":           {[]script{sendAndEnd("HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"), send(whole)}, []string{"broken after 2", "200 ok"}, 2},
+		"shorter than told":      {[]script{sendAndEnd("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 9\r\n\r\nok"), send(whole)}, []string{"broken after 2", "200 ok"}, 2},
+		"no length":              {[]script{sendAndEnd("HTTP/1.1 200 OK\r\nId: ID\r\n\r\nok"), send(whole)}, []string{"200 ok", "200 ok"}, 2},
+		"reset":                  {[]script{reset, send(whole)}, []string{"unknown", "200 ok"}, 2},
+		"closed":                 {[]script{sendAndEnd(""), send(whole)}, []string{"unknown", "200 ok"}, 2},
+		"no answer at all":       {[]script{sendAndEnd("\x00\x01 this is no answer\r\n\r\n"), send(whole)}, []string{"unknown", "200 ok"}, 2},
+		"says that it closes":    {[]script{send("HTTP/1.1 200 OK\r\nId: ID\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"), send(whole)}, []string{"200 ok", "200 ok"}, 2},
+		"keeps for no time":      {[]script{send("HTTP/1.1 200 OK\r\nId: ID\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok"), send(whole)}, []string{"200 ok", "200 ok"}, 2},
+		"bytes after the end":    {[]script{send(whole + "xx"), send(whole)}, []string{"200 ok", "200 ok"}, 2},
+		"a late answer first":    {[]script{send("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nold" + whole)}, []string{"200 ok"}, 1},
+		"only a late answer":     {[]script{sendAndEnd("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nold")}, []string{"unknown"}, 1},
+		"interim answers":        {[]script{send("HTTP/1.1 103 Early Hints\r\n\r\n" + whole)}, []string{"200 ok"}, 1},
+		"a failure is an answer": {[]script{send("HTTP/1.1 500 Oops\r\nId: ID\r\nContent-Length: 2\r\n\r\nno")}, []string{"500 no"}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tg := newTarget(t, test.scripts...)
+			c := New(Options{})
+			defer c.Close()
+			for i, want := range test.want {
+				time.Sleep(20 * time.Millisecond) // so that what the target sent unasked has arrived
+				if got := outcome(t, c, tg.addr, fmt.Sprint("r", i)); got != want {
+					t.Errorf("request %d: %s, want %s", i, got, want)
+				}
+			}
+			if n := len(tg.requests); n != len(test.want) {
+				t.Errorf("the target got %d requests, want %d: none may be repeated", n, len(test.want))
+			}
+			if n := len(tg.accepted); n != test.conns {
+				t.Errorf("%d connections, want %d", n, test.conns)
+			}
+		})
+	}
+}
+
+// TestClosedWhileKept checks that a request does not go over a connection that the
+// target has closed or written to since.
+func TestClosedWhileKept(t *testing.T) {
+	for name, after := range map[string]func(c net.Conn){
+		"closed":       func(c net.Conn) { _ = c.Close() },
+		"unasked byte": func(c net.Conn) { _, _ = c.Write([]byte("x")) },
+		"extra answer": func(c net.Conn) {
+			_, _ = io.WriteString(c, strings.ReplaceAll(whole, "ID", "r0"))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tg := newTarget(t, send(whole), send(whole))
+			c := New(Options{})
+			defer c.Close()
+			if got := outcome(t, c, tg.addr, "r0"); got != "200 ok" {
+				t.Fatal(got)
+			}
+			after(<-tg.accepted)
+			time.Sleep(50 * time.Millisecond)
+			if got := outcome(t, c, tg.addr, "r1"); got != "200 ok" {
+				t.Error(got)
+			}
+			if n := len(tg.accepted); n != 1 {
+				t.Errorf("%d further connections, want 1", n)
+			}
+		})
+	}
+}
+
+// TestNotSent checks that a target which nobody listens for is told apart from one that
+// may have taken the request.
+func TestNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	_ = l.Close()
+	c := New(Options{})
+	defer c.Close()
+	if got := outcome(t, c, addr, "r"); got != "not sent" {
+		t.Error(got)
+	}
+}
+
+// TestCancelled checks that the end of the context ends the connection, so that the
+// target can stop its work.
+func TestCancelled(t *testing.T) {
+	ended := make(chan error, 1)
+	tg := newTarget(t, func(c net.Conn, _ *http.Request) bool {
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+		return false
+	})
+	c := New(Options{})
+	defer c.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-tg.requests
+		cancel()
+	}()
+	var unknown *UnknownError
+	if _, err := c.Do(ctx, tg.addr, ask("r")); !errors.As(err, &unknown) {
+		t.Errorf("%v", err)
+	}
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("a byte arrived")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the connection stayed open")
+	}
+}
+
+// TestEarlyAnswer checks that a connection is not used again whose target answered before
+// it had read the whole request.
+func TestEarlyAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				buf := make([]byte, 1<<10)
+				n, _ := io.ReadAtLeast(conn, buf, 100)
+				id := "r1"
+				if strings.Contains(string(buf[:n]), "Id: r0") {
+					id = "r0"
+				}
+				_, _ = io.WriteString(conn, strings.ReplaceAll(whole, "ID", id))
+				time.Sleep(time.Second)
+			}()
+		}
+	}()
+	c := New(Options{})
+	defer c.Close()
+	for i := range 2 {
+		r := ask(fmt.Sprint("r", i))
+		r.Body = make([]byte, 8<<20) // more than the kernel takes
+		answer, err := c.Do(t.Context(), l.Addr().String(), r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(answer); err != nil {
+			t.Fatal(err)
+		}
+		_ = answer.Close()
+	}
+	if n := c.Opened(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
+
+// TestSweep checks that unused connections are closed in time.
+func TestSweep(t *testing.T) {
+	tg := newTarget(t, send(whole))
+	c := New(Options{})
+	if got := outcome(t, c, tg.addr, "r0"); got != "200 ok" {
+		t.Fatal(got)
+	}
+	c.Sweep(clock.Now())
+	if len(c.idle[tg.addr]) != 1 {
+		t.Error("a fresh connection was closed")
+	}
+	c.Sweep(clock.Now().Add(time.Minute))
+	if len(c.idle) != 0 {
+		t.Error("an old connection was kept")
+	}
+}
--- a/internal/target/http1/exchange.go
+++ b/internal/target/http1/exchange.go
@@ -23,6 +23,8 @@
 
 var errStray = errors.New("answers belong to other requests")
 
+var _ io.ReadCloser = (*Answer)(nil)
+
 // Answer is a target's answer. Its body is read to the end or closed early.
 type Answer struct {
 	Status int
@@ -109,13 +111,15 @@
 }
 
 // Close gives the connection back if the answer was read to its end, and ends it otherwise.
-func (a *Answer) Close() {
+// It returns nil.
+func (a *Answer) Close() error {
 	x := a.x
 	if !x.stop() || !a.ended || !a.Framed || !x.whole() || a.last || x.conn.r.Buffered() > 0 {
 		x.conn.close()
-		return
+		return nil
 	}
 	x.client.keep(x.conn, a.idle())
+	return nil
 }
 
 // whole reports whether the request has been written to its end.
