Instances tell each other what they have in flight and where prompts are cached

Cause: prefill engines tell no load, and each entry took a shared beginning for cached at its home without knowing. At 15 s to 24 s prompts waited 0.7 s to 1.3 s at prefill engines that were expected to take 70 ms, while mixed ones had room. Now the leader collects what all have in flight and where beginnings were processed; a target fetches KV cache from one that has it.

--- a/dispatch/backend.go
+++ b/dispatch/backend.go
@@ -38,6 +38,7 @@
 	Left    time.Duration // of the caller's time
 	After   string        // id of the last event that was delivered
 	Import  *Copy         // KV cache to use
+	Source  string        // address of a target that may have the prompt's KV cache; empty if none is known
 }
 
 // Copy names KV cache that an engine keeps for one request.
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -11,6 +11,8 @@
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/inflight"
+	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/router"
 	"github.com/hickoryridge/hickoryridge/state"
 	"github.com/hickoryridge/hickoryridge/target"
@@ -25,6 +27,7 @@
 	table  *target.Table
 	router *router.Router
 	active map[ident.TargetID]int // own requests in progress
+	placed []peer.Placement       // not told to others yet
 	// suspects are targets that failed a request, until when they are passed over.
 	suspects map[ident.TargetID]clock.Time
 
@@ -172,6 +175,7 @@
 type Assignment struct {
 	Choice  router.Choice
 	Address string
+	Source  string // address of a target to fetch KV cache from; empty if none is known
 	Region  ident.RegionID
 	Version string // of the target's model
 	Split   bool   // the target processes prompts only
@@ -193,6 +197,9 @@
 	f.router.Sent(now, c, req)
 	f.active[c.ID]++
 	a := &Assignment{Choice: c, Address: r.Address, Region: r.Region, fleet: f, req: req}
+	if source, ok := f.table.Get(c.Source); ok {
+		a.Source = source.Address
+	}
 	if r.Engine != nil {
 		a.Version = r.Engine.Version
 		a.Split = req.Need == router.NeedPrefill && r.Engine.Role == rolePrefill
@@ -224,9 +231,18 @@
 		return
 	}
 	a.first = true
-	a.fleet.mu.Lock()
-	a.fleet.router.First(clock.Now(), a.Choice, a.req)
-	a.fleet.mu.Unlock()
+	f := a.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := clock.Now()
+	f.router.First(now, a.Choice, a.req)
+	if len(a.req.Pieces) == 0 {
+		return
+	}
+	f.router.Holds(now, a.Choice.ID, a.req.Pieces)
+	if !a.Choice.Held && len(f.placed) < maxPlaced && len(a.req.Parts) > 0 {
+		f.placed = append(f.placed, peer.Placement{Target: a.Choice.ID, Parts: a.req.Parts})
+	}
 }
 
 // Report takes the load that the target told with an answer.
@@ -281,6 +297,49 @@
 	return busy
 }
 
+// Own returns what this instance has at the targets.
+func (f *Fleet) Own() inflight.Loads {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	loads := inflight.Loads{}
+	for _, o := range f.router.Own() {
+		loads[o.Target] = inflight.Load{Waiting: o.Waiting, Running: o.Running}
+	}
+	return loads
+}
+
+// maxPlaced bounds the placements that wait to be told.
+const maxPlaced = 256
+
+// TakePlaced returns the placements by this instance since the previous call.
+func (f *Fleet) TakePlaced() []peer.Placement {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	placed := f.placed
+	f.placed = nil
+	return placed
+}
+
+// HearPlaced takes placements by other instances.
+func (f *Fleet) HearPlaced(now clock.Time, placed []peer.Placement) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range placed {
+		f.router.Holds(now, p.Target, router.PartPieces(nil, p.Parts))
+	}
+	f.router.Forget(now)
+}
+
+// HearLoads takes what all instances have at the targets, as of the given age.
+func (f *Fleet) HearLoads(now clock.Time, age time.Duration, loads inflight.Loads) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table.Each(func(r *target.Record) {
+		l := loads[r.Target]
+		f.router.Report(now, r.Target, router.Report{Age: age, Waiting: l.Waiting, Running: l.Running, Slots: r.Load.Slots, Prefill: r.Load.Prefill})
+	})
+}
+
 // Records returns the target table.
 func (f *Fleet) Records() []target.Record {
 	f.mu.Lock()
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -167,7 +167,7 @@
 	if !r.model {
 		n = router.NeedAny
 	}
-	return router.Request{Service: r.f.Service, Need: n, Prompt: r.prompt, Pieces: r.pieces, Avoid: r.avoid}
+	return router.Request{Service: r.f.Service, Need: n, Prompt: r.prompt, Pieces: r.pieces, Parts: r.f.Parts, Avoid: r.avoid}
 }
 
 // attempts tries targets until the answer is whole or nothing more may be tried.
@@ -238,13 +238,13 @@
 	c := a.Choice
 	r.d.cfg.Log.WithFields(logrus.Fields{
 		"event": "placed", "request": r.f.ID, "rule": r.f.Rule.Name, "target": c.ID, "need": n, "split": a.Split, "cross": c.Cross,
-		"expected": c.First.Milliseconds(), "wait": c.Wait.Milliseconds(), "prompt": r.prompt, "cached": c.Cached,
+		"expected": c.First.Milliseconds(), "wait": c.Wait.Milliseconds(), "prompt": r.prompt, "cached": c.Cached, "source": c.Source,
 		"at": clock.Now().Sub(r.f.Arrived).Milliseconds(), "number": r.f.Config.Number,
 	}).Info("target chosen")
 }
 
 func (r *forwardRun) call(a *Assignment) Call {
-	return Call{Request: r.f, Target: a.Choice.ID, Address: a.Address, Left: r.f.left(clock.Now()), After: r.after}
+	return Call{Request: r.f, Target: a.Choice.ID, Address: a.Address, Source: a.Source, Left: r.f.left(clock.Now()), After: r.after}
 }
 
 func (r *forwardRun) prefill(ctx context.Context, a *Assignment) (*Copy, Outcome) {
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -9,6 +9,7 @@
 
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/news"
 	"github.com/hickoryridge/hickoryridge/internal/duty"
 	"github.com/hickoryridge/hickoryridge/leader"
 	"github.com/hickoryridge/hickoryridge/peer"
@@ -19,6 +20,8 @@
 	pullEvery   = 500 * time.Millisecond
 	pullTime    = 1 * time.Second
 	gaugesEvery = 1 * time.Second
+	shareEvery  = 200 * time.Millisecond
+	shareTime   = 400 * time.Millisecond
 )
 
 // renewLease is the duty that keeps the configuration lease.
@@ -122,6 +125,28 @@
 	}
 }
 
+// shareLoads is the duty that tells the leader what this instance has at the targets, and
+// takes what all have.
+func (in *Instance) shareLoads(ctx context.Context) error {
+	var since news.Cursor
+	return duty.Every(ctx, shareEvery, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, shareTime)
+		defer cancel()
+		asked := clock.Now()
+		sum, err := askFor[*peer.Sum](ctx, in.leader, &peer.Share{
+			Instance: in.settings.Instance, Loads: in.fleet.Own(), Placed: in.fleet.TakePlaced(), Since: since,
+		})
+		if err != nil {
+			in.log.WithFields(logrus.Fields{"event": "loads_not_shared", "cause": err}).Debug("loads not shared")
+			return
+		}
+		now := clock.Now()
+		since = sum.Next
+		in.fleet.HearLoads(now, now.Sub(asked)/2+shareEvery/2, sum.Loads)
+		in.fleet.HearPlaced(now, sum.Placed)
+	})
+}
+
 // updateGauges is the duty that reports the instance's state as metrics.
 func (in *Instance) updateGauges(ctx context.Context) error {
 	return duty.Every(ctx, gaugesEvery, func(context.Context) {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -134,7 +134,7 @@
 	}
 	return router.Config{
 		Region: s.Region, Domain: s.Domain, Links: links, Seed: uint64(time.Now().UnixNano()), Noise: routeNoise,
-		Handover: s.Routing.Handover.Span(), Move: s.Routing.Move.Span(), Reread: s.Routing.Reread.Span(), Homes: s.Routing.Homes, Spread: s.Routing.Spread,
+		Handover: s.Routing.Handover.Span(), Move: s.Routing.Move.Span(), Reread: s.Routing.Reread.Span(), Homes: s.Routing.Homes, Fetch: s.Routing.Fetch, Keep: s.Routing.Keep.Span(), Spread: s.Routing.Spread,
 	}
 }
 
@@ -214,6 +214,9 @@
 	if in.listeners.callers != nil {
 		g.Go("lease", in.renewLease)
 		g.Go("table", in.pullTables)
+		if in.settings.Routing.Share {
+			g.Go("share", in.shareLoads)
+		}
 		g.Go("callers", in.serveCallers)
 	}
 	g.Go("control", in.serveControl)
--- /dev/null
+++ b/internal/cluster/inflight/inflight.go
@@ -0,0 +1,77 @@
+// Package inflight sums up what all instances have at each target.
+//
+// Load pattern: several instances fill the queue of an engine that does not tell how long it
+// is. Each believes that the engine is idle and sends its long prompts there, while others have
+// room. An instance knows its own unanswered prompts exactly, so the sum over the instances is the queue.
+//
+// Every instance tells one collector what it has at the targets, a few times a second, and
+// gets the sums of all. An instance that goes silent stops counting after a while:
+// its requests end with it.
+//
+// Sums holds no lock and reads no clock.
+package inflight
+
+import (
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+)
+
+// silence is the time after which what an instance told counts no more.
+const silence = 1500 * time.Millisecond
+
+// Load is the requests of one instance, or of all, at a target.
+type Load struct {
+	Waiting ident.Tokens `msgpack:"waiting"` // prompt tokens without a first token
+	Running int          `msgpack:"running"` // requests in progress
+}
+
+// Loads is the loads of the targets that have any.
+type Loads map[ident.TargetID]Load
+
+type told struct {
+	loads Loads
+	at    clock.Time
+}
+
+// Sums is what every instance told last. Use New.
+type Sums struct {
+	byInstance map[ident.InstanceID]told
+	total      Loads
+}
+
+// New returns empty sums.
+func New() *Sums { return &Sums{byInstance: map[ident.InstanceID]told{}, total: Loads{}} }
+
+// Put replaces what an instance has.
+func (s *Sums) Put(now clock.Time, id ident.InstanceID, loads Loads) {
+	s.add(s.byInstance[id].loads, -1)
+	s.byInstance[id] = told{loads, now}
+	s.add(loads, +1)
+}
+
+// Total returns the sums of the instances that were heard lately. The result is valid until
+// the next call of a method.
+func (s *Sums) Total(now clock.Time) Loads {
+	for id, t := range s.byInstance {
+		if now.Sub(t.at) > silence {
+			s.add(t.loads, -1)
+			delete(s.byInstance, id)
+		}
+	}
+	return s.total
+}
+
+func (s *Sums) add(loads Loads, sign int) {
+	for id, l := range loads {
+		sum := s.total[id]
+		sum.Waiting += ident.Tokens(sign) * l.Waiting
+		sum.Running += sign * l.Running
+		if sum == (Load{}) {
+			delete(s.total, id)
+			continue
+		}
+		s.total[id] = sum
+	}
+}
--- /dev/null
+++ b/internal/cluster/inflight/inflight_test.go
@@ -0,0 +1,63 @@
+package inflight
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+)
+
+// TestSums compares the sums with a count anew, under instances that come, change and go
+// silent.
+func TestSums(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		s := New()
+		last := map[ident.InstanceID]told{}
+		now := clock.Time(time.Hour)
+		for range 100 {
+			now = now.Add(time.Duration(rng.IntN(300)) * time.Millisecond)
+			id := ident.InstanceID(fmt.Sprint("i", rng.IntN(5)))
+			loads := Loads{}
+			for range rng.IntN(4) {
+				loads[ident.TargetID(fmt.Sprint("t", rng.IntN(4)))] = Load{Waiting: ident.Tokens(rng.IntN(3) * 1000), Running: rng.IntN(3)}
+			}
+			last[id] = told{loads, now}
+			s.Put(now, id, loads)
+			want := Loads{}
+			for _, l := range last {
+				if now.Sub(l.at) > silence {
+					continue
+				}
+				for target, load := range l.loads {
+					sum := want[target]
+					sum.Waiting += load.Waiting
+					sum.Running += load.Running
+					want[target] = sum
+				}
+			}
+			maps.DeleteFunc(want, func(_ ident.TargetID, l Load) bool { return l == (Load{}) })
+			if got := s.Total(now); !maps.Equal(got, want) {
+				t.Fatalf("seed %d: %v, want %v", seed, got, want)
+			}
+		}
+	}
+}
+
+func ExampleSums() {
+	s := New()
+	s.Put(0, "entry-1", Loads{"engine": {Waiting: 17000, Running: 1}})
+	s.Put(0, "entry-2", Loads{"engine": {Waiting: 4000, Running: 2}})
+	fmt.Println(s.Total(0)["engine"])
+	s.Put(clock.Time(time.Second), "entry-1", Loads{})
+	fmt.Println(s.Total(clock.Time(time.Second))["engine"])
+	fmt.Println(s.Total(clock.Time(2 * time.Second))["engine"])
+	// Output:
+	// {21000 3}
+	// {4000 2}
+	// {0 0}
+}
--- a/leader/coordinator.go
+++ b/leader/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -12,6 +13,8 @@
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/inflight"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/news"
 	"github.com/hickoryridge/hickoryridge/internal/duty"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/quorum"
@@ -49,6 +52,8 @@
 	active  bool
 	began   clock.Time
 	leases  *Leases
+	sums    *inflight.Sums
+	placed  *news.Log[peer.Placement]
 	plans   *rolePlans
 	refused map[ident.OrderID]bool
 	waiting map[ident.OrderID]string       // why an open order waits, for reports
@@ -58,7 +63,7 @@
 // NewCoordinator returns a coordinator. Start runs it.
 func NewCoordinator(cfg Config) *Coordinator {
 	return &Coordinator{
-		cfg: cfg, leases: NewLeases(), plans: newRolePlans(),
+		cfg: cfg, leases: NewLeases(), sums: inflight.New(), placed: newPlaced(), plans: newRolePlans(),
 		refused: map[ident.OrderID]bool{}, waiting: map[ident.OrderID]string{},
 	}
 }
@@ -116,6 +121,8 @@
 	if active {
 		co.began = now
 		co.leases.Begin(now, co.cfg.Node.Status().First)
+		co.sums = inflight.New()
+		co.placed = newPlaced()
 		co.plans = newRolePlans()
 		clear(co.refused)
 		clear(co.waiting)
@@ -171,6 +178,25 @@
 	return g, nil
 }
 
+// Share takes what an instance has at the targets and returns what all have.
+func (co *Coordinator) Share(share *peer.Share) *peer.Sum {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	now := clock.Now()
+	co.sums.Put(now, share.Instance, share.Loads)
+	co.placed.Append(share.Placed...)
+	placed, next := co.placed.Since(share.Since)
+	return &peer.Sum{Loads: maps.Clone(co.sums.Total(now)), Placed: placed, Next: next}
+}
+
+// newPlaced returns the placements of a new run of leadership.
+func newPlaced() *news.Log[peer.Placement] {
+	return news.New[peer.Placement](rand.Uint64()|1, keptPlacements)
+}
+
+// keptPlacements bounds the placements that a new instance is told.
+const keptPlacements = 2048
+
 // InForce reports whether view v is in force everywhere, and who is waited for.
 func (co *Coordinator) InForce(v state.Version) (bool, []ident.InstanceID) {
 	co.mu.Lock()
--- a/peer/message.go
+++ b/peer/message.go
@@ -5,8 +5,11 @@
 
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/inflight"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/news"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
 	"github.com/hickoryridge/hickoryridge/quorum"
+	"github.com/hickoryridge/hickoryridge/router"
 	"github.com/hickoryridge/hickoryridge/state"
 	"github.com/hickoryridge/hickoryridge/target"
 )
@@ -35,6 +38,8 @@
 	kindForced
 	kindViewAsk
 	kindViewGive
+	kindShare
+	kindSum
 	kindEnd // number of kinds, with the 0 that is none
 )
 
@@ -193,6 +198,29 @@
 	View state.View `msgpack:"view"`
 }
 
+// Share tells the leader what the instance has at the targets.
+type Share struct {
+	Instance ident.InstanceID `msgpack:"instance"`
+	Loads    inflight.Loads   `msgpack:"loads"`
+	Placed   []Placement      `msgpack:"placed"` // since the last Share
+	Since    news.Cursor      `msgpack:"since"`  // of the placements that the instance has
+}
+
+// Placement tells that an engine has the beginning of a prompt in its cache.
+type Placement struct {
+	Target ident.TargetID `msgpack:"target"`
+	Parts  []router.Part  `msgpack:"parts"`
+}
+
+// Sum answers a Share with what all instances have.
+type Sum struct {
+	Loads  inflight.Loads `msgpack:"loads"`
+	Placed []Placement    `msgpack:"placed"` // by all instances, since the cursor of the Share
+	Next   news.Cursor    `msgpack:"next"`
+}
+
+func (*Share) kind() kind    { return kindShare }
+func (*Sum) kind() kind      { return kindSum }
 func (*Force) kind() kind    { return kindForce }
 func (*Forced) kind() kind   { return kindForced }
 func (*ViewAsk) kind() kind  { return kindViewAsk }
@@ -260,6 +288,10 @@
 		return &ViewAsk{}
 	case kindViewGive:
 		return &ViewGive{}
+	case kindShare:
+		return &Share{}
+	case kindSum:
+		return &Sum{}
 	default:
 		return nil
 	}
--- a/router/accounting.go
+++ b/router/accounting.go
@@ -63,13 +63,13 @@
 	defer r.settle(c.slot)
 	d.past.note(now, d.waiting, d.own)
 	d.own++
+	for _, h := range req.Pieces {
+		r.prefixes.add(h, c.slot, now) // an engine keeps what it imports like its own
+	}
 	if req.Need == NeedDecode {
 		return
 	}
 	d.waiting += max(0, float64(req.Prompt-c.Cached))
-	for _, h := range req.Pieces {
-		r.prefixes.add(h, c.slot)
-	}
 }
 
 // First counts the first token of a request's answer: its prompt is processed.
@@ -97,6 +97,24 @@
 	r.settle(c.slot)
 }
 
+// Own is what this instance has at a target.
+type Own struct {
+	Target  ident.TargetID
+	Waiting ident.Tokens // prompt tokens without a first token
+	Running int
+}
+
+// Own returns what this instance has at the targets that have any of it.
+func (r *Router) Own() []Own {
+	var own []Own
+	for i := range r.details {
+		if d := &r.details[i]; d.known && (d.own > 0 || d.waiting > 0) {
+			own = append(own, Own{d.target.ID, ident.Tokens(d.waiting), int(d.own)})
+		}
+	}
+	return own
+}
+
 // Load is the router's present estimate of a target, for reports.
 type Load struct {
 	Target  Target
--- a/router/home.go
+++ b/router/home.go
@@ -13,9 +13,9 @@
 //
 // So each beginning has a home, found by rendezvous hashing among the engines with their
 // prefill rates as weights: all instances that see the same engines agree without a word, and an engine that comes or goes moves only its own part of the
-// beginnings. An instance expects the beginning at its home, whoever sent it there. A home
-// is an expectation and no order: when its queue costs more than processing the beginning
-// elsewhere, the request goes elsewhere, and that place is remembered like any other.
+// beginnings. The home counts while no engine is known to have the beginning; after that,
+// what is known does. When the home's queue costs more than it is worth that others find the beginning there, the
+// request goes elsewhere, and that place is told to the others like any other.
 
 // findCandidates lists the usable engines of each service.
 func (r *Router) findCandidates() {
@@ -31,20 +31,19 @@
 	}
 }
 
-// markHomes expects the whole beginning at its homes.
-func (r *Router) markHomes(pieces []uint64, w *wanted) {
-	if !r.cfg.Homes || len(pieces) == 0 {
+// findHome finds the home of a beginning that no engine is known to have.
+func (r *Router) findHome(pieces []uint64, w *wanted) {
+	if !r.cfg.Homes || len(pieces) == 0 || len(r.touched) > 0 || w.need == NeedDecode {
 		return
 	}
 	beginning := pieces[len(pieces)-1]
-	home, most := int32(-1), 0.0
+	most := 0.0
 	for _, i := range r.homes[w.service] {
 		d := &r.details[i]
-		if score := d.rate * weight(beginning^d.hash); home < 0 || score > most {
-			home, most = i, score
+		if score := d.rate * weight(beginning^d.hash); w.home < 0 || score > most {
+			w.home, most = i, score
 		}
 	}
-	r.expect(home, len(pieces))
 }
 
 // weight returns a number above 0 for a hash. The largest of several such numbers, each
@@ -55,17 +54,6 @@
 	return -1 / math.Log(u)
 }
 
-// expect marks a slot as having n pieces of the prompt.
-func (r *Router) expect(i int32, n int) {
-	if i < 0 || r.depth[i] >= int32(n) {
-		return
-	}
-	if r.depth[i] == 0 {
-		r.touched = append(r.touched, i)
-	}
-	r.depth[i] = int32(n)
-}
-
 // hashOf returns the hash of a target's name for rendezvous hashing.
 func hashOf(t Target) uint64 { return xxhash.Sum64String(string(t.ID)) }
 
--- a/router/part.go
+++ b/router/part.go
@@ -12,8 +12,8 @@
 // history. A target that has a part in its cache has it whole, and only behind all
 // parts before it.
 type Part struct {
-	ID     string
-	Tokens ident.Tokens
+	ID     string       `msgpack:"id"`
+	Tokens ident.Tokens `msgpack:"tokens"`
 }
 
 // PartTokens returns the length of a prompt that is given in parts.
--- a/router/prefix.go
+++ b/router/prefix.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
 )
 
 // Bounds of the prefix index.
@@ -46,6 +47,7 @@
 	n     uint8
 	next  uint8
 	slots [maxHolders]int32
+	used  [maxHolders]clock.Time // when each was last used; 0 if only events end it
 }
 
 func (h *holderSet) slice() []int32 {
@@ -55,26 +57,36 @@
 	return h.slots[:h.n]
 }
 
-func (h *holderSet) add(i int32) {
-	for _, s := range h.slots[:h.n] {
+func (h *holderSet) add(i int32, now clock.Time) {
+	for j, s := range h.slots[:h.n] {
 		if s == i {
+			h.used[j] = now
 			return
 		}
 	}
 	if h.n < maxHolders {
-		h.slots[h.n] = i
+		h.slots[h.n], h.used[h.n] = i, now
 		h.n++
 		return
 	}
-	h.slots[h.next] = i
+	h.slots[h.next], h.used[h.next] = i, now
 	h.next = (h.next + 1) % maxHolders
 }
 
+// forget drops the members that were last used before a point in time.
+func (h *holderSet) forget(before clock.Time) {
+	for j := int(h.n) - 1; j >= 0; j-- {
+		if h.used[j] > 0 && h.used[j].Before(before) {
+			h.remove(h.slots[j])
+		}
+	}
+}
+
 func (h *holderSet) remove(i int32) {
 	for j, s := range h.slots[:h.n] {
 		if s == i {
 			h.n--
-			h.slots[j] = h.slots[h.n]
+			h.slots[j], h.used[j] = h.slots[h.n], h.used[h.n]
 			h.next = 0
 			return
 		}
@@ -91,14 +103,14 @@
 
 func newPrefixes() *prefixes { return &prefixes{holders: map[uint64]*holderSet{}} }
 
-func (p *prefixes) add(h uint64, i int32) {
+func (p *prefixes) add(h uint64, i int32, now clock.Time) {
 	set := p.holders[h]
 	if set == nil {
 		set = &holderSet{}
 		p.holders[h] = set
 		p.remember(h)
 	}
-	set.add(i)
+	set.add(i, now)
 }
 
 func (p *prefixes) remember(h uint64) {
@@ -143,7 +155,7 @@
 	s.trust = max(s.trust, minTrust)
 	d.event = sequence
 	for _, h := range stored {
-		r.prefixes.add(h, i)
+		r.prefixes.add(h, i, 0)
 	}
 	for _, h := range evicted {
 		r.prefixes.remove(h, i)
@@ -154,3 +166,25 @@
 	trustGain = 0.2
 	minTrust  = 0.25
 )
+
+// Holds tells that a target has pieces in its cache, as it just used them.
+func (r *Router) Holds(now clock.Time, id ident.TargetID, pieces []uint64) {
+	i, ok := r.byID[id]
+	if !ok {
+		return
+	}
+	for _, h := range pieces {
+		r.prefixes.add(h, i, now)
+	}
+}
+
+// Forget drops what was last used too long ago to count as cached.
+func (r *Router) Forget(now clock.Time) {
+	if r.cfg.Keep == 0 {
+		return
+	}
+	before := now.Add(-r.cfg.Keep)
+	for _, set := range r.prefixes.holders {
+		set.forget(before)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -64,6 +64,12 @@
 	// Reread is the time that a thousand tokens are worth which an engine has to process
 	// although another one has them in its cache.
 	Reread time.Duration
+	// Keep is the time for which a piece counts as cached after it was last used; 0 means
+	// until an event says otherwise.
+	Keep time.Duration
+	// Fetch tells that an engine can get KV cache from another one before it processes a
+	// prompt.
+	Fetch bool
 	// Homes tells that the instances agree on an engine for each shared prompt; see home.
 	Homes bool
 	// Spread tells that no prefill engine is kept for short prompts; see reserve.
@@ -101,6 +107,7 @@
 	Need    Need
 	Prompt  ident.Tokens
 	Pieces  []uint64       // chained hashes of the prompt's whole pieces
+	Parts   []Part         // that the pieces stand for, if the prompt is given in parts
 	Avoid   ident.TargetID // a target that failed this request
 	From    ident.RegionID // region of the KV cache to import; empty if none
 }
@@ -108,10 +115,12 @@
 // Choice is a chosen target with what was expected of it.
 type Choice struct {
 	ID     ident.TargetID
-	First  time.Duration // expected time to the first token
-	Cached ident.Tokens  // prompt tokens expected in the prefix cache
-	Wait   time.Duration // part of First that other requests cause
-	Cross  bool          // the target stands in another region
+	First  time.Duration  // expected time to the first token
+	Cached ident.Tokens   // prompt tokens expected in the prefix cache
+	Wait   time.Duration  // part of First that other requests cause
+	Cross  bool           // the target stands in another region
+	Held   bool           // the target is known to have the whole shared part of the prompt
+	Source ident.TargetID // another target that has more of the prompt cached; empty if none is known
 	slot   int32
 	gen    uint32
 }
@@ -162,6 +171,9 @@
 	move                          float64 // seconds for moving the KV cache of a token
 	shared                        int32   // pieces of the prompt that others may have
 	reread                        float64 // seconds that a piece is worth which is processed again
+	held                          int32   // most pieces that a target has, if another one can get them from it
+	holder                        int32   // that target
+	home                          int32   // the target to process a beginning that nobody is known to have; -1 if none
 	kept                          int32   // the reserved engine, -1 if none
 	reserved, others              float64 // what the reservation adds there and elsewhere, in seconds
 }
@@ -169,7 +181,7 @@
 func (r *Router) wanted(req Request) wanted {
 	w := wanted{
 		service: r.services[req.Service], need: req.Need, avoid: -1, kept: -1,
-		prompt: float64(req.Prompt), shared: int32(len(req.Pieces)),
+		prompt: float64(req.Prompt), shared: int32(len(req.Pieces)), holder: -1, home: -1,
 	}
 	if req.Need != NeedDecode {
 		w.prefill = w.prompt
@@ -222,7 +234,8 @@
 		return Choice{}, false
 	}
 	r.markDepths(req.Pieces)
-	r.markHomes(req.Pieces, &w)
+	r.findHome(req.Pieces, &w)
+	r.findHolder(&w)
 	best := found{-1, math.Inf(1)}
 	if w.kept >= 0 {
 		r.consider(w.kept, &w, &best)
@@ -279,8 +292,18 @@
 // cost returns the seconds to the first token and what else speaks against a
 // target, in seconds.
 func (r *Router) cost(s *slot, depth int32, w *wanted) float64 {
-	own := s.uncached(depth, w) * s.pace
-	cost := s.base + own + w.carry(s.region, s.cross) + s.moved(depth, w) + float64(w.shared-depth)*w.reread
+	fetched := max(0, w.held-depth)
+	own := s.uncached(depth+fetched, w) * s.pace
+	cost := s.base + own + w.carry(s.region, s.cross) + s.moved(depth, w)
+	if w.held > 0 {
+		cost += float64(w.shared-depth-fetched) * w.reread
+	}
+	if w.home >= 0 && &r.slots[w.home] != s {
+		cost += float64(w.shared) * w.reread // the others will look for it at its home
+	}
+	if fetched > 0 {
+		cost += float64(fetched) * float64(PieceTokens) * r.fetching(s.region, w.holder)
+	}
 	if w.need == NeedPrefill && s.roles&(1<<NeedDecode) == 0 {
 		cost += r.cfg.Handover.Seconds()
 	}
@@ -309,11 +332,12 @@
 // choice describes a slot as chosen.
 func (r *Router) choice(i int32, w *wanted) Choice {
 	s, d := &r.slots[i], &r.details[i]
-	uncached := s.uncached(r.depth[i], w)
+	depth := max(r.depth[i], w.held)
+	uncached := s.uncached(depth, w)
 	wait := d.queue()/d.rate + d.full()
 	return Choice{
 		ID: d.target.ID, First: seconds(wait + uncached/d.rate + 2*d.link), Wait: seconds(wait),
-		Cached: ident.Tokens(w.prefill - uncached), Cross: s.cross, slot: i, gen: d.gen,
+		Cached: ident.Tokens(w.prefill - uncached), Cross: s.cross, slot: i, gen: d.gen, Source: r.source(i, w), Held: r.depth[i] >= w.shared,
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -111,6 +111,9 @@
 	Handover desired.Duration `json:"handover,omitempty"` // fixed time of moving a prompt's KV cache to another engine
 	Move     desired.Duration `json:"move,omitempty"`     // of a thousand tokens of KV cache between engines
 	Reread   desired.Duration `json:"reread,omitempty"`   // what a thousand tokens are worth that are processed again at another engine
+	Share    bool             `json:"share,omitempty"`    // instances tell each other what they have at engines, which report no queues
+	Keep     desired.Duration `json:"keep,omitempty"`     // for which a prompt counts as cached after its last use; 0 means until an event ends it
+	Fetch    bool             `json:"fetch,omitempty"`    // engines can get KV cache from each other before they process a prompt
 	Homes    bool             `json:"homes,omitempty"`    // shared prompts have homes that all instances agree on
 	Spread   bool             `json:"spread,omitempty"`   // no engine is reserved for short prompts
 	// Prefill and Mixed are the rates of engines of these roles that report none, in
