admit: retries of a service are bounded over all instances in sliding windows

Cause: each entry could save up 128 retries, nine of them twenty times the 58 that the platform allows beyond a fifth of the requests.

--- /dev/null
+++ b/admit/retries_test.go
@@ -0,0 +1,77 @@
+package admit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+)
+
+// TestRetriesOfAllInstances lets every request fail at several instances and checks the
+// limit over all of them in every sliding window.
+func TestRetriesOfAllInstances(t *testing.T) {
+	limit := RetryLimit{Ratio: 0.2, Window: 10 * time.Second, Slack: 58}
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		n := 1 + rng.IntN(12)
+		instances := make([]*Retries, n)
+		for i := range instances {
+			instances[i] = NewRetries(limit)
+		}
+		var requests, retries []clock.Time
+		now := clock.Time(time.Hour)
+		for range 5000 {
+			now = now.Add(time.Duration(rng.ExpFloat64() * float64(20*time.Millisecond)))
+			r := instances[rng.IntN(n)]
+			r.Request(now)
+			requests = append(requests, now)
+			for range rng.IntN(3) {
+				if r.Retry(now, n) {
+					retries = append(retries, now)
+				}
+			}
+		}
+		from, first := 0, 0
+		for i, at := range retries {
+			for ; retries[from].Before(at.Add(-limit.Window)); from++ {
+			}
+			for ; requests[first].Before(at.Add(-limit.Window)); first++ {
+			}
+			count := 0
+			for _, asked := range requests[first:] {
+				if asked.After(at) {
+					break
+				}
+				count++
+			}
+			if got, most := i-from+1, limit.Ratio*float64(count)+float64(limit.Slack); float64(got) > most {
+				t.Fatalf("seed %d: %d retries within %v for %d requests of %d instances", seed, got, limit.Window, count, n)
+			}
+		}
+		if len(retries) < len(requests)/10 {
+			t.Errorf("seed %d: only %d retries for %d requests", seed, len(retries), len(requests))
+		}
+	}
+}
+
+// TestRetriesOfOne checks the slack of a quiet instance and that it comes back.
+func TestRetriesOfOne(t *testing.T) {
+	r := NewRetries(RetryLimit{Ratio: 0.2, Window: 10 * time.Second, Slack: 50})
+	now := clock.Time(time.Hour)
+	allowed := 0
+	for range 100 {
+		if r.Retry(now, 5) {
+			allowed++
+		}
+	}
+	if allowed != 8 { // of 10, with caution
+		t.Errorf("%d retries at once, want 8", allowed)
+	}
+	if r.Retry(now.Add(9*time.Second), 5) {
+		t.Error("a retry within the same window")
+	}
+	if !r.Retry(now.Add(11*time.Second), 5) {
+		t.Error("no retry in the next window")
+	}
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -40,6 +40,9 @@
 	Metrics  *metrics.Metrics
 	Log      *logrus.Entry
 	Running  int // requests in progress for each service
+	// Retries bounds the retries of each service over all instances; without a window each
+	// instance has a budget of its own.
+	Retries admit.RetryLimit
 }
 
 // Dispatcher serves requests. It is safe for concurrent use.
@@ -48,13 +51,15 @@
 	admit *admission
 	work  *demands
 
-	mu      sync.Mutex
-	budgets map[ident.ServiceID]*admit.Budget
+	mu        sync.Mutex
+	budgets   map[ident.ServiceID]*admit.Budget
+	retries   map[ident.ServiceID]*admit.Retries
+	instances int // that share the retries
 }
 
 // New returns a dispatcher. The owner runs Run as a duty.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{cfg: cfg, admit: newAdmission(cfg.Running), work: newDemands(), budgets: map[ident.ServiceID]*admit.Budget{}}
+	return &Dispatcher{cfg: cfg, admit: newAdmission(cfg.Running), work: newDemands(), budgets: map[ident.ServiceID]*admit.Budget{}, retries: map[ident.ServiceID]*admit.Retries{}}
 }
 
 // Run is the duty that advances waiting requests.
@@ -90,6 +95,10 @@
 func (d *Dispatcher) countRequest(s ident.ServiceID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.cfg.Retries.Window > 0 {
+		d.shared(s).Request(clock.Now())
+		return
+	}
 	b := d.budgets[s]
 	if b == nil {
 		b = admit.NewBudget()
@@ -102,9 +111,29 @@
 func (d *Dispatcher) mayRetry(s ident.ServiceID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.cfg.Retries.Window > 0 {
+		return d.shared(s).Retry(clock.Now(), d.instances)
+	}
 	return d.budgets[s].Retry()
 }
 
+// shared returns this instance's part of a service's retries. d.mu is held.
+func (d *Dispatcher) shared(s ident.ServiceID) *admit.Retries {
+	r := d.retries[s]
+	if r == nil {
+		r = admit.NewRetries(d.cfg.Retries)
+		d.retries[s] = r
+	}
+	return r
+}
+
+// SetInstances tells how many instances share the retries.
+func (d *Dispatcher) SetInstances(n int) {
+	d.mu.Lock()
+	d.instances = n
+	d.mu.Unlock()
+}
+
 // Who says on whose behalf a request is made.
 type Who struct {
 	Tenant *desired.Tenant
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -54,8 +54,9 @@
 	started clock.Time // when it was admitted
 	freed   bool       // its place in the window is free again
 
-	sent    int // targets that may have run it
-	vain    int // targets that were not reached
+	sent    int  // targets that may have run it
+	arrived bool // some target has got it, whatever it did with it
+	vain    int  // targets that were not reached
 	avoid   ident.TargetID
 	after   string     // id of the last event that was delivered
 	begun   bool       // the answer has begun
@@ -180,7 +181,7 @@
 		if ctx.Err() != nil {
 			return fault.New(fault.Timeout, "no whole answer within %v: %v", r.f.Rule.Timeout.Span(), err)
 		}
-		if r.sent > 0 && !r.d.mayRetry(r.f.Service) {
+		if r.arrived && !r.d.mayRetry(r.f.Service) {
 			return fault.New(fault.RetryBudget, "the service's budget for retries is used up: %v", err)
 		}
 		r.d.cfg.Metrics.Count("retried")
@@ -275,6 +276,7 @@
 	}
 	defer func() { _ = answered.Body.Close() }() // read to its end or given up
 	r.sent++
+	r.arrived = true
 	if answered.Load != nil {
 		a.Report(*answered.Load)
 	}
@@ -291,6 +293,7 @@
 		return r.notRun(ctx, a, o)
 	case Unknown:
 		r.sent++
+		r.arrived = true
 		r.unknown = true
 		if ctx.Err() == nil {
 			a.Failed()
@@ -303,6 +306,7 @@
 
 func (r *forwardRun) notRun(ctx context.Context, a *Assignment, o NotRun) (again bool, err error) {
 	err = fault.WithRan(fault.New(fault.NoTarget, "target %s: %s: %v", a.Choice.ID, o.Reason, o.Err), fault.RanNo)
+	r.arrived = r.arrived || o.Reason != Unreachable
 	switch o.Reason {
 	case Unreachable:
 		r.vain++
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -69,6 +69,8 @@
 		in.roster.Replace(*grant.Roster)
 	}
 	in.receipts.Reconcile(grant.Claims)
+	in.dispatcher.SetInstances(max(grant.Holders, in.holders))
+	in.holders = max(grant.Holders, in.holders-1) // the number of a new leader grows again at first
 	if err := in.gate.Granted(asked, grant); err != nil {
 		return err
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hickoryridge/hickoryridge/admit"
 	"github.com/hickoryridge/hickoryridge/dispatch"
 	"github.com/hickoryridge/hickoryridge/engine"
 	"github.com/hickoryridge/hickoryridge/fault"
@@ -69,6 +70,7 @@
 	lingering  atomic.Bool                       // stopping, but requests are still taken
 	reloaded   atomic.Pointer[settings.Settings] // the newest settings
 	confirmed  state.Version                     // newest view that the leader knows to be in force here; owned by the lease duty
+	holders    int                               // instances that share the retries; owned by the lease duty
 	ready      chan struct{}
 }
 
@@ -113,6 +115,7 @@
 	in.dispatcher = dispatch.New(dispatch.Config{
 		Instance: s.Instance, Boot: boot, Gate: in.gate, Fleet: in.fleet, Engines: in.engines,
 		Plain: in.plain, Backend: &platform.Backend{Client: in.targets}, Receipts: in.receipts, Metrics: in.metrics, Log: in.log, Running: s.RunningLimit(),
+		Retries: admit.RetryLimit{Ratio: s.Retries.Ratio, Window: s.Retries.Window.Span(), Slack: s.Retries.Slack},
 	})
 	if !s.Voter() {
 		return in, nil
@@ -248,7 +251,7 @@
 	in.log.WithField("event", "draining").Info("draining")
 	in.linger(ctx)
 	in.gate.Drain()
-	if bound := in.settings.Timing.Stop.Span(); bound > 0 {
+	if bound := in.settings.StopBound(); bound > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, bound)
 		defer cancel()
--- a/leader/coordinator.go
+++ b/leader/coordinator.go
@@ -167,7 +167,7 @@
 		return nil, fault.New(fault.NotLeader, "not the leader")
 	}
 	v := co.cfg.Machine.View()
-	g := &peer.Grant{Duration: LeaseDuration, Version: v.Version, Claims: co.claims[ask.Boot]}
+	g := &peer.Grant{Duration: LeaseDuration, Version: v.Version, Claims: co.claims[ask.Boot], Holders: co.leases.Holders(clock.Now())}
 	if v.Version > ask.Version {
 		g.View = &v
 	}
--- a/leader/leases.go
+++ b/leader/leases.go
@@ -92,6 +92,17 @@
 	return settled && len(waiting) == 0, waiting
 }
 
+// Holders returns the number of instances that hold a lease.
+func (l *Leases) Holders(now clock.Time) int {
+	n := 0
+	for _, h := range l.holders {
+		if now.Before(h.expires) {
+			n++
+		}
+	}
+	return n
+}
+
 // Busy reports whether an instance with a live lease still has requests at an
 // engine.
 func (l *Leases) Busy(now clock.Time, engine ident.TargetID) bool {
--- a/peer/message.go
+++ b/peer/message.go
@@ -112,6 +112,7 @@
 	View     *state.View   `msgpack:"view,omitempty"` // if it is newer than the instance's
 	Claims   []state.Claim `msgpack:"claims"`         // old open receipts of the instance's run
 	Roster   *Roster       `msgpack:"roster"`         // if it is newer than the instance's
+	Holders  int           `msgpack:"holders"`        // instances that hold a lease
 }
 
 // Roster is the membership of the quorum, for those who have to find its leader.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -45,6 +45,7 @@
 	TLS     TLS                               `json:"tls,omitzero"`
 	Limits  Limits                            `json:"limits,omitzero"`
 	Routing Routing                           `json:"routing,omitzero"`
+	Retries Retries                           `json:"retries,omitzero"`
 	Timing  Timing                            `json:"timing,omitzero"`
 	Log     Log                               `json:"log,omitzero"`
 }
@@ -92,9 +93,15 @@
 	// Linger is how long a stopping instance still takes requests while it says that it is
 	// not ready, so that a balancer can take it out first.
 	Linger desired.Duration `json:"linger,omitempty"`
-	// Lease is how long a target counts as there after each announcement, where its
-	// protocol has no lease of its own.
-	Lease desired.Duration `json:"lease,omitempty"`
+	// Grace is the time that a stopping process has before it is killed; it bounds Stop and
+	// Linger together.
+	Grace desired.Duration `json:"grace,omitempty"`
+	// Heartbeat is the interval of targets' announcements, where their protocol has no
+	// lease of its own. A target counts as there for a few of them.
+	Heartbeat desired.Duration `json:"heartbeat,omitempty"`
+	// Contact is the time after which an instance that was cut off has to know everything
+	// again. No target counts as there for as long without an announcement.
+	Contact desired.Duration `json:"contact,omitempty"`
 }
 
 // WirePlatform is the users' platform; see package platform.
@@ -122,6 +129,14 @@
 	Mixed   ident.TokensPerSecond `json:"mixed,omitempty"`
 }
 
+// Retries bounds the retries of each service over all instances. Without a window every
+// instance has a budget of its own.
+type Retries struct {
+	Ratio  float64          `json:"ratio,omitempty"`  // retries for each request
+	Window desired.Duration `json:"window,omitempty"` // any span of this length counts
+	Slack  int              `json:"slack,omitempty"`  // retries beyond the ratio
+}
+
 // Log sets the log.
 type Log struct {
 	Level string `json:"level,omitempty"` // debug, info, warn or error
@@ -172,13 +187,39 @@
 // Variable is the environment variable that names the settings file where no flag does.
 const Variable = "HICKORYRIDGE_SETTINGS"
 
+const (
+	// leaseBeats is the number of heartbeats for which a target counts as there.
+	leaseBeats = 3
+	// contactPart is the part of Contact for which it does so at most.
+	contactPart = 0.9
+	// gracePart is the part of Grace that a stop takes at most.
+	gracePart = 0.92
+)
+
 // TargetLease returns how long a target counts as there after an announcement that
 // names no lease.
 func (s *Settings) TargetLease() time.Duration {
-	if s.Timing.Lease == 0 {
+	if s.Timing.Heartbeat == 0 {
 		return target.MaxLease
 	}
-	return time.Duration(s.Timing.Lease)
+	lease := leaseBeats * s.Timing.Heartbeat.Span()
+	if contact := s.Timing.Contact.Span(); contact > 0 {
+		lease = min(lease, time.Duration(contactPart*float64(contact)))
+	}
+	return lease
+}
+
+// StopBound returns the longest wait for requests in progress at a stop, after the time
+// for which new ones are still taken; 0 means no bound.
+func (s *Settings) StopBound() time.Duration {
+	bound := s.Timing.Stop.Span()
+	if grace := s.Timing.Grace.Span(); grace > 0 {
+		left := max(time.Millisecond, time.Duration(gracePart*float64(grace))-s.Timing.Linger.Span())
+		if bound == 0 || left < bound {
+			bound = left
+		}
+	}
+	return bound
 }
 
 // Load reads a settings file. The faults are empty if it can be used. A file that
@@ -245,8 +286,15 @@
 	if s.Routing.Cross < 0 || s.Routing.Handover < 0 || s.Routing.Move < 0 || s.Routing.Reread < 0 || s.Routing.Prefill < 0 || s.Routing.Mixed < 0 {
 		fs.Add("$.routing", "has a negative number")
 	}
-	if s.Timing.Linger < 0 || s.Timing.Lease < 0 || s.Limits.Memory < 0 {
-		fs.Add("$.timing", "linger, lease and limits.memory may not be negative")
+	t := s.Timing
+	if t.Linger < 0 || t.Grace < 0 || t.Heartbeat < 0 || t.Contact < 0 {
+		fs.Add("$.timing", "linger, grace, heartbeat or contact is negative")
+	}
+	if s.Limits.Memory < 0 {
+		fs.Add("$.limits.memory", "is negative")
+	}
+	if s.Retries.Ratio < 0 || s.Retries.Slack < 0 || s.Retries.Window < 0 {
+		fs.Add("$.retries", "has a negative number")
 	}
 	for _, a := range addresses {
 		checkAddress(&fs, a.path, a.value)
