Logs that never hold up work, lines for what an instance believes, a metrics address

Lines go through a bounded ring that drops those of requests that went well first, and says how many.

--- a/cmd/hickoryridge/main.go
+++ b/cmd/hickoryridge/main.go
@@ -8,15 +8,19 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"os"
 	"runtime/debug"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/hickoryridge/hickoryridge/instance"
 	"github.com/hickoryridge/hickoryridge/internal/cli"
 	"github.com/hickoryridge/hickoryridge/internal/demo"
 	"github.com/hickoryridge/hickoryridge/internal/duty"
+	"github.com/hickoryridge/hickoryridge/internal/log/stdout"
 	"github.com/hickoryridge/hickoryridge/settings"
 )
 
@@ -92,7 +96,16 @@
 	if s == nil {
 		return code
 	}
-	logger := cli.Logger(os.Stdout, s.Log.Level)
+	lines := stdout.New(os.Stdout, stdout.DefaultLines)
+	logs := duty.New(context.Background())
+	logs.Go("log", lines.Run)
+	code = serveInstance(s, from, cli.Logger(lines, s.Log.Level))
+	logs.Stop()
+	_ = logs.Wait() // the log's own end says nothing of the instance
+	return code
+}
+
+func serveInstance(s *settings.Settings, from source, logger *logrus.Logger) int {
 	if s.Limits.Memory > 0 {
 		debug.SetMemoryLimit(int64(s.Limits.Memory))
 	}
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -340,6 +340,13 @@
 	})
 }
 
+// Record returns what is known of a target.
+func (f *Fleet) Record(id ident.TargetID) (target.Record, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Get(id)
+}
+
 // Records returns the target table.
 func (f *Fleet) Records() []target.Record {
 	f.mu.Lock()
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -34,9 +34,7 @@
 			held = true
 			close(in.ready)
 		}
-		if err != nil {
-			in.log.WithFields(logrus.Fields{"event": "lease_not_renewed", "cause": err}).Debug("lease not renewed")
-		}
+		in.noteLease(err)
 		if err == nil && !confirming && in.gate.Version() != in.confirmed {
 			continue // confirm the new view at once
 		}
@@ -48,6 +46,20 @@
 	}
 }
 
+// noteLease notes when the configuration lease is lost and regained.
+func (in *Instance) noteLease(cause error) {
+	holds := in.gate.Held(clock.Now())
+	if holds == in.holds {
+		return
+	}
+	in.holds = holds
+	fields := logrus.Fields{"event": "lease_held", "version": in.gate.Version()}
+	if !holds {
+		fields["event"], fields["cause"] = "lease_lost", cause
+	}
+	in.log.WithFields(fields).Info("configuration lease changed")
+}
+
 // renewOnce asks for a lease. An instance that holds one lets the leader answer
 // with the next view; the question after a new view tells that it is in force here.
 func (in *Instance) renewOnce(ctx context.Context) error {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -70,13 +70,14 @@
 	lingering  atomic.Bool                       // stopping, but requests are still taken
 	reloaded   atomic.Pointer[settings.Settings] // the newest settings
 	confirmed  state.Version                     // newest view that the leader knows to be in force here; owned by the lease duty
+	holds      bool                              // the configuration lease when it was last looked at; owned by the lease duty
 	holders    int                               // instances that share the retries; owned by the lease duty
 	ready      chan struct{}
 }
 
 // listeners are the sockets that an instance accepts on.
 type listeners struct {
-	callers, control, peer net.Listener
+	callers, control, peer, metrics net.Listener
 }
 
 // New opens the listeners and the data folder of an instance. Run runs it.
@@ -149,9 +150,10 @@
 		{in.settings.Callers, &in.listeners.callers},
 		{in.settings.Control, &in.listeners.control},
 		{in.settings.Peer, &in.listeners.peer},
+		{in.settings.Metrics, &in.listeners.metrics},
 	} {
 		if l.addr == "" {
-			continue // this instance serves no callers
+			continue // this instance has none
 		}
 		opened, err := tcp.Listen(l.addr, peer.Connection)
 		if err != nil {
@@ -164,7 +166,7 @@
 }
 
 func (l listeners) close() {
-	for _, open := range []net.Listener{l.callers, l.control, l.peer} {
+	for _, open := range []net.Listener{l.callers, l.control, l.peer, l.metrics} {
 		if open != nil {
 			_ = open.Close() // nothing was accepted yet
 		}
@@ -223,6 +225,9 @@
 		g.Go("callers", in.serveCallers)
 	}
 	g.Go("control", in.serveControl)
+	if in.listeners.metrics != nil {
+		g.Go("metrics", in.serveMetrics)
+	}
 	g.Go("stop", func(background context.Context) error {
 		select {
 		case <-background.Done():
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/sirupsen/logrus"
 
 	"github.com/hickoryridge/hickoryridge/caller"
 	"github.com/hickoryridge/hickoryridge/desired"
@@ -44,7 +45,7 @@
 // callerHandler serves callers by the protocol that the settings name.
 func (in *Instance) callerHandler() http.Handler {
 	if in.settings.Wire == settings.WirePlatform {
-		return &platform.Callers{Gate: in.gate, Dispatcher: in.dispatcher, MaxBody: in.settings.BodyLimit()}
+		return &platform.Callers{Gate: in.gate, Dispatcher: in.dispatcher, MaxBody: in.settings.BodyLimit(), Log: in.log}
 	}
 	r := chi.NewRouter()
 	in.health().Mount(r)
@@ -68,6 +69,12 @@
 	return in.serve(ctx, in.listeners.control, r)
 }
 
+func (in *Instance) serveMetrics(ctx context.Context) error {
+	r := chi.NewRouter()
+	r.Method(http.MethodGet, "/metrics", in.metrics.Handler())
+	return in.serve(ctx, in.listeners.metrics, r)
+}
+
 // mountPlatform adds the users' platform's calls of targets and operators.
 func (in *Instance) mountPlatform(r chi.Router) {
 	as := &platform.Announcements{
@@ -75,13 +82,33 @@
 		Rates: map[desired.Role]ident.TokensPerSecond{
 			desired.RolePrefill: in.settings.Routing.Prefill, desired.RoleMixed: in.settings.Routing.Mixed,
 		},
-		Take:  func(a target.Announcement) { in.fleet.Announce(clock.Now(), a) },
+		Take:  in.announced,
 		Leave: func(id ident.TargetID, start ident.Incarnation) { in.fleet.Leave(clock.Now(), id, start) },
 	}
 	as.Mount(r)
 	(&platform.Operator{Leader: in.leader, Log: in.log}).Mount(r)
 }
 
+// announced takes a target's announcement, and notes what it changes.
+func (in *Instance) announced(a target.Announcement) {
+	old, known := in.fleet.Record(a.Target)
+	in.fleet.Announce(clock.Now(), a)
+	if known && old.Incarnation == a.Incarnation && old.Leaving == a.Leaving && old.Address == a.Address && roleOf(old.Engine) == roleOf(a.Engine) {
+		return
+	}
+	in.log.WithFields(logrus.Fields{
+		"event": "target_changed", "target": a.Target, "service": a.Service, "address": a.Address, "start": a.Incarnation,
+		"sequence": a.Sequence, "leaving": a.Leaving, "role": roleOf(a.Engine),
+	}).Info("target announced a change")
+}
+
+func roleOf(e *target.EngineReport) desired.Role {
+	if e == nil {
+		return ""
+	}
+	return e.Role
+}
+
 func (in *Instance) health() *platform.Health {
 	return platform.New(func() error {
 		if in.stopping.Load() {
--- /dev/null
+++ b/internal/log/stdout/stdout.go
@@ -0,0 +1,103 @@
+// Package stdout writes log lines without ever holding up the work that they tell of.
+//
+// The model. Lines go into a bounded ring, and one duty writes them out. A reader that does not
+// read fills the ring; then lines are dropped and counted, and the count is written when
+// there is room again. Lines of requests that went well are dropped first, from half the ring on:
+// those of failures and of changed beliefs are what someone will look for.
+package stdout
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/internal/ring"
+)
+
+const (
+	// DefaultLines is the number of lines that wait to be written at most.
+	DefaultLines = 4096
+	// flushTime bounds the writing of the last lines at the end of the process.
+	flushTime = 500 * time.Millisecond
+)
+
+// minor marks the lines that are dropped first.
+var minor = [][]byte{[]byte("event=placed "), []byte("event=forwarded ")}
+
+// Writer is an io.Writer that never blocks. Use New.
+type Writer struct {
+	out     io.Writer
+	lines   *ring.Ring[[]byte]
+	limit   int
+	dropped atomic.Uint64 // since the last line that told of it
+	total   atomic.Uint64
+}
+
+var _ io.Writer = (*Writer)(nil)
+
+// New returns a writer that keeps up to n lines for out. Its owner runs Run.
+func New(out io.Writer, n int) *Writer {
+	return &Writer{out: out, lines: ring.New[[]byte]("log", n), limit: n}
+}
+
+// Write takes one line. It never fails.
+func (w *Writer) Write(line []byte) (int, error) {
+	if w.lines.Len() >= w.limit/2 && isMinor(line) || w.lines.Push(bytes.Clone(line)) != nil {
+		w.dropped.Add(1)
+		w.total.Add(1)
+	}
+	return len(line), nil
+}
+
+func isMinor(line []byte) bool {
+	for _, m := range minor {
+		if bytes.Contains(line, m) {
+			return true
+		}
+	}
+	return false
+}
+
+// Dropped returns the number of lines that were dropped so far.
+func (w *Writer) Dropped() uint64 { return w.total.Load() }
+
+// Run is the duty that writes lines until ctx ends, and then those that still wait, within a
+// bound. Nobody reads the errors of a broken output.
+func (w *Writer) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			w.flush()
+			return ctx.Err()
+		case line := <-w.lines.C():
+			w.write(line)
+		}
+	}
+}
+
+// write writes a line and what waits behind it in one call.
+func (w *Writer) write(line []byte) {
+	w.lines.Drain(w.limit, func(next []byte) { line = append(line, next...) })
+	if n := w.dropped.Swap(0); n > 0 {
+		line = fmt.Appendf(line, "time=%q level=warning msg=\"log lines were dropped\" event=log_dropped lines=%d\n",
+			time.Now().Format(time.RFC3339Nano), n)
+	}
+	_, _ = w.out.Write(line) // see Run
+}
+
+// flush writes what still waits. A blocked output keeps it, and its goroutine ends with the
+// process.
+func (w *Writer) flush() {
+	done := make(chan struct{})
+	go func() {
+		w.lines.Drain(w.limit, w.write)
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(flushTime):
+	}
+}
--- a/peer/network.go
+++ b/peer/network.go
@@ -301,6 +301,7 @@
 
 func (l *link) serve(ctx context.Context, c net.Conn) {
 	l.out.Drain(outputRing, func([]byte) {}) // frames of an earlier connection are stale
+	l.n.cfg.Log.WithFields(logrus.Fields{"event": "link_up", "peer": l.peer, "address": l.addr}).Info("link up")
 	l.setUp(true)
 	defer l.setUp(false)
 	g := duty.New(ctx)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,10 +25,11 @@
 	Instance ident.InstanceID `json:"instance"`
 	Region   ident.RegionID   `json:"region"`
 	Domain   ident.DomainID   `json:"domain"`
-	Callers  string           `json:"callers"`        // address for callers; empty if the instance serves none
-	Control  string           `json:"control"`        // address for operators, targets and the platform
-	Peer     string           `json:"peer"`           // address for other instances
-	Data     string           `json:"data,omitempty"` // data folder; makes the instance a voter
+	Callers  string           `json:"callers"`           // address for callers; empty if the instance serves none
+	Control  string           `json:"control"`           // address for operators, targets and the platform
+	Peer     string           `json:"peer"`              // address for other instances
+	Metrics  string           `json:"metrics,omitempty"` // address that serves /metrics beside control
+	Data     string           `json:"data,omitempty"`    // data folder; makes the instance a voter
 	Peers    []Peer           `json:"peers,omitempty"`
 	// Seeds are control addresses through which an instance finds the voters, in place
 	// of listed peers. They may change while it runs.
@@ -277,6 +278,9 @@
 	if s.Callers != "" || !s.Voter() {
 		addresses = append(addresses, struct{ path, value string }{"$.callers", s.Callers})
 	}
+	if s.Metrics != "" {
+		addresses = append(addresses, struct{ path, value string }{"$.metrics", s.Metrics})
+	}
 	for i, seed := range s.Seeds {
 		checkAddress(&fs, fmt.Sprintf("$.seeds[%d]", i), seed)
 	}
