--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -303,7 +303,7 @@
 	defer f.mu.Unlock()
 	loads := inflight.Loads{}
 	for _, o := range f.router.Own() {
-		loads[o.Target] = inflight.Load{Waiting: o.Waiting, Running: o.Running}
+		loads[o.Target] = inflight.Load{Waiting: o.Waiting}
 	}
 	return loads
 }
@@ -335,8 +335,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.table.Each(func(r *target.Record) {
-		l := loads[r.Target]
-		f.router.Report(now, r.Target, router.Report{Age: age, Waiting: l.Waiting, Running: l.Running, Slots: r.Load.Slots, Prefill: r.Load.Prefill})
+		f.router.Queued(now, r.Target, loads[r.Target].Waiting, age)
 	})
 }
 
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -16,6 +16,9 @@
 )
 
 const (
+	// eachHolder is what the intervals of questions grow by for each instance that asks them,
+	// so that a voter gets no more than some hundred a second.
+	eachHolder = 2 * time.Millisecond
 	// pullEvery is the interval at which instances ask each other for targets.
 	pullEvery   = 500 * time.Millisecond
 	pullTime    = 1 * time.Second
@@ -83,6 +86,7 @@
 	in.receipts.Reconcile(grant.Claims)
 	in.dispatcher.SetInstances(max(grant.Holders, in.holders))
 	in.holders = max(grant.Holders, in.holders-1) // the number of a new leader grows again at first
+	in.sharing.Store(int64(in.holders))
 	if err := in.gate.Granted(asked, grant); err != nil {
 		return err
 	}
@@ -95,8 +99,6 @@
 // pullTables is the duty that asks every instance for the targets that announced
 // themselves there.
 func (in *Instance) pullTables(ctx context.Context) error {
-	ticker := time.NewTicker(pullEvery)
-	defer ticker.Stop()
 	running := map[ident.InstanceID]bool{}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -120,11 +122,16 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case <-time.After(in.spaced(pullEvery)):
 		}
 	}
 }
 
+// spaced returns an interval of questions, longer where many instances ask them.
+func (in *Instance) spaced(d time.Duration) time.Duration {
+	return d + time.Duration(in.sharing.Load())*eachHolder
+}
+
 func (in *Instance) pullTable(ctx context.Context, id ident.InstanceID) {
 	ctx, cancel := context.WithTimeout(ctx, pullTime)
 	defer cancel()
@@ -143,22 +150,32 @@
 // takes what all have.
 func (in *Instance) shareLoads(ctx context.Context) error {
 	var since news.Cursor
-	return duty.Every(ctx, shareEvery, func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, shareTime)
-		defer cancel()
-		asked := clock.Now()
-		sum, err := askFor[*peer.Sum](ctx, in.leader, &peer.Share{
-			Instance: in.settings.Instance, Loads: in.fleet.Own(), Placed: in.fleet.TakePlaced(), Since: since,
-		})
-		if err != nil {
-			in.log.WithFields(logrus.Fields{"event": "loads_not_shared", "cause": err}).Debug("loads not shared")
-			return
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(in.spaced(shareEvery)):
 		}
-		now := clock.Now()
-		since = sum.Next
-		in.fleet.HearLoads(now, now.Sub(asked)/2+shareEvery/2, sum.Loads)
-		in.fleet.HearPlaced(now, sum.Placed)
+		since = in.shareOnce(ctx, since)
+	}
+}
+
+// shareOnce tells and takes loads and placements, and returns the cursor of the latter.
+func (in *Instance) shareOnce(ctx context.Context, since news.Cursor) news.Cursor {
+	ctx, cancel := context.WithTimeout(ctx, shareTime)
+	defer cancel()
+	asked := clock.Now()
+	sum, err := askFor[*peer.Sum](ctx, in.leader, &peer.Share{
+		Instance: in.settings.Instance, Loads: in.fleet.Own(), Placed: in.fleet.TakePlaced(), Since: since,
 	})
+	if err != nil {
+		in.log.WithFields(logrus.Fields{"event": "loads_not_shared", "cause": err}).Debug("loads not shared")
+		return since
+	}
+	now := clock.Now()
+	in.fleet.HearLoads(now, now.Sub(asked)/2+in.spaced(shareEvery)/2, sum.Loads)
+	in.fleet.HearPlaced(now, sum.Placed)
+	return sum.Next
 }
 
 // updateGauges is the duty that reports the instance's state as metrics.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -72,6 +72,7 @@
 	confirmed  state.Version                     // newest view that the leader knows to be in force here; owned by the lease duty
 	holds      bool                              // the configuration lease when it was last looked at; owned by the lease duty
 	holders    int                               // instances that share the retries; owned by the lease duty
+	sharing    atomic.Int64                      // holders, for other duties
 	ready      chan struct{}
 }
 
@@ -138,7 +139,7 @@
 	}
 	return router.Config{
 		Region: s.Region, Domain: s.Domain, Links: links, Seed: uint64(time.Now().UnixNano()), Noise: routeNoise,
-		Handover: s.Routing.Handover.Span(), Move: s.Routing.Move.Span(), Reread: s.Routing.Reread.Span(), Homes: s.Routing.Homes, Fetch: s.Routing.Fetch, Keep: s.Routing.Keep.Span(), Spread: s.Routing.Spread,
+		Handover: s.Routing.Handover.Span(), Move: s.Routing.Move.Span(), Reread: s.Routing.Reread.Span(), Homes: s.Routing.Homes, Fetch: s.Routing.Fetch, Shared: s.Routing.Share, Keep: s.Routing.Keep.Span(), Spread: s.Routing.Spread,
 	}
 }
 
--- a/instance/joining.go
+++ b/instance/joining.go
@@ -35,7 +35,7 @@
 // founders returns the voters among the seeds. ok is false while one of them has not
 // answered.
 func (v *voter) founders(ctx context.Context) (founders []seed.Instance, ok bool) {
-	for _, info := range v.in.askSeeds(ctx, seed.NewClient()) {
+	for _, info := range v.in.askSeeds(ctx, seed.NewClient(), v.in.seeds()) {
 		if info.Voter && !slices.Contains(founders, info.Instance) {
 			founders = append(founders, info.Instance)
 		}
--- a/instance/roster.go
+++ b/instance/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -15,8 +16,11 @@
 )
 
 const (
-	// seekEvery is the interval at which seeds are asked while no voter is connected.
-	seekEvery = 250 * time.Millisecond
+	// seekMin and seekMax are the intervals at which a seed is asked while no voter is
+	// connected. They double, so that hundreds of instances that start at once do not keep a few
+	// seeds busy with questions.
+	seekMin = 200 * time.Millisecond
+	seekMax = 2 * time.Second
 	// lookEvery is the interval at which the own replica's membership is looked at.
 	lookEvery = 250 * time.Millisecond
 )
@@ -92,26 +96,32 @@
 	return slices.ContainsFunc(r.Voters(), func(id ident.InstanceID) bool { return id != r.self && r.network.Connected(id) })
 }
 
-// seek is the duty that asks seeds while no other voter is connected.
+// seek is the duty that asks seeds while no other voter is connected, or the quorum's
+// membership is not known: the only voter that is known may be cut off from the others.
 func (in *Instance) seek(ctx context.Context) error {
 	client := seed.NewClient()
-	ticker := time.NewTicker(seekEvery)
-	defer ticker.Stop()
+	wait := seekMin
+	next := rand.Int()
 	for {
-		if !in.roster.connected() {
-			in.askSeeds(ctx, client)
+		if in.roster.connected() && in.roster.Changed() > 0 {
+			wait = seekMin
+		} else {
+			seeds := in.seeds()
+			in.askSeeds(ctx, client, seeds[next%len(seeds):next%len(seeds)+1])
+			next++
+			wait = min(2*wait, seekMax)
 		}
+		// Spread over a quarter, so that instances that started together do not stay together.
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case <-time.After(wait + rand.N(wait/4)):
 		}
 	}
 }
 
-// askSeeds asks every seed and adds the voters that they tell of.
-func (in *Instance) askSeeds(ctx context.Context, client *seed.Client) []seed.Info {
-	seeds := in.seeds()
+// askSeeds asks seeds and adds the voters that they tell of.
+func (in *Instance) askSeeds(ctx context.Context, client *seed.Client, seeds []string) []seed.Info {
 	replies := make(chan seed.Info, len(seeds))
 	var wg sync.WaitGroup
 	for _, addr := range seeds {
--- a/internal/cluster/inflight/inflight.go
+++ b/internal/cluster/inflight/inflight.go
@@ -24,7 +24,6 @@
 // Load is the requests of one instance, or of all, at a target.
 type Load struct {
 	Waiting ident.Tokens `msgpack:"waiting"` // prompt tokens without a first token
-	Running int          `msgpack:"running"` // requests in progress
 }
 
 // Loads is the loads of the targets that have any.
@@ -51,23 +50,29 @@
 	s.add(loads, +1)
 }
 
-// Total returns the sums of the instances that were heard lately. The result is valid until
-// the next call of a method.
-func (s *Sums) Total(now clock.Time) Loads {
+// Total returns the sums of the instances that were heard lately, of the targets that have
+// at least the given number of tokens waiting: what is less is soon gone, and most
+// targets of a large fleet have less.
+func (s *Sums) Total(now clock.Time, least ident.Tokens) Loads {
 	for id, t := range s.byInstance {
 		if now.Sub(t.at) > silence {
 			s.add(t.loads, -1)
 			delete(s.byInstance, id)
 		}
 	}
-	return s.total
+	total := Loads{}
+	for id, l := range s.total {
+		if l.Waiting >= least {
+			total[id] = l
+		}
+	}
+	return total
 }
 
 func (s *Sums) add(loads Loads, sign int) {
 	for id, l := range loads {
 		sum := s.total[id]
 		sum.Waiting += ident.Tokens(sign) * l.Waiting
-		sum.Running += sign * l.Running
 		if sum == (Load{}) {
 			delete(s.total, id)
 			continue
--- a/leader/coordinator.go
+++ b/leader/coordinator.go
@@ -140,13 +140,20 @@
 	if ask.Hold {
 		select {
 		case <-ctx.Done():
-		case <-time.After(HoldTime):
+		case <-time.After(co.holdTime()):
 		case <-co.cfg.Machine.Changed(ask.Version):
 		}
 	}
 	return co.answer(ask)
 }
 
+// holdTime returns the longest time for which an answer without news is held back.
+func (co *Coordinator) holdTime() time.Duration {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	return min(holdMax, HoldTime+time.Duration(co.leases.Holders(clock.Now()))*holdEach)
+}
+
 func (co *Coordinator) record(ask *peer.Lease) error {
 	co.mu.Lock()
 	defer co.mu.Unlock()
@@ -186,7 +193,7 @@
 	co.sums.Put(now, share.Instance, share.Loads)
 	co.placed.Append(share.Placed...)
 	placed, next := co.placed.Since(share.Since)
-	return &peer.Sum{Loads: maps.Clone(co.sums.Total(now)), Placed: placed, Next: next}
+	return &peer.Sum{Loads: co.sums.Total(now, leastWaiting), Placed: placed, Next: next}
 }
 
 // newPlaced returns the placements of a new run of leadership.
@@ -194,6 +201,9 @@
 	return news.New[peer.Placement](rand.Uint64()|1, keptPlacements)
 }
 
+// leastWaiting is the number of waiting prompt tokens from which on a target's queue is told.
+const leastWaiting ident.Tokens = 1024
+
 // keptPlacements bounds the placements that a new instance is told.
 const keptPlacements = 2048
 
--- a/leader/leases.go
+++ b/leader/leases.go
@@ -26,6 +26,10 @@
 	// HoldTime is the longest time for which the leader holds back an answer that
 	// brings no new view.
 	HoldTime = 300 * time.Millisecond
+	// holdEach is what HoldTime grows by for each instance that holds a lease, up to
+	// holdMax, so that many instances do not ask more often than the leader can answer.
+	holdEach = 2 * time.Millisecond
+	holdMax  = 800 * time.Millisecond
 	// RenewEvery is the wait of an instance between the answer and the next question.
 	RenewEvery = 20 * time.Millisecond
 )
--- a/router/accounting.go
+++ b/router/accounting.go
@@ -35,7 +35,9 @@
 		waiting, own = d.waiting, d.own
 	}
 	r.share(i, -1)
-	d.backlog.take(float64(rep.Waiting), waiting, rep.Age)
+	if !r.cfg.Shared {
+		d.backlog.take(float64(rep.Waiting), waiting, rep.Age)
+	}
 	d.running.take(float64(rep.Running), own, rep.Age)
 	r.share(i, +1)
 	d.alike = r.alike(i, rep.Age)
@@ -101,20 +103,36 @@
 type Own struct {
 	Target  ident.TargetID
 	Waiting ident.Tokens // prompt tokens without a first token
-	Running int
 }
 
 // Own returns what this instance has at the targets that have any of it.
 func (r *Router) Own() []Own {
 	var own []Own
 	for i := range r.details {
-		if d := &r.details[i]; d.known && (d.own > 0 || d.waiting > 0) {
-			own = append(own, Own{d.target.ID, ident.Tokens(d.waiting), int(d.own)})
+		if d := &r.details[i]; d.known && d.waiting >= 1 {
+			own = append(own, Own{d.target.ID, ident.Tokens(d.waiting)})
 		}
 	}
 	return own
 }
 
+// Queued takes the prompt tokens that wait at a target, of all instances together, as of
+// the given age. What the target reports of its running requests stays.
+func (r *Router) Queued(now clock.Time, id ident.TargetID, waiting ident.Tokens, age time.Duration) {
+	i, ok := r.byID[id]
+	if !ok {
+		return
+	}
+	d := &r.details[i]
+	d.past.note(now, d.waiting, d.own)
+	own, _, ok := d.past.at(now.Add(-age))
+	if !ok {
+		own = d.waiting
+	}
+	d.backlog.take(float64(waiting), own, age)
+	r.settle(i)
+}
+
 // Load is the router's present estimate of a target, for reports.
 type Load struct {
 	Target  Target
--- a/router/router.go
+++ b/router/router.go
@@ -67,6 +67,9 @@
 	// Keep is the time for which a piece counts as cached after it was last used; 0 means
 	// until an event says otherwise.
 	Keep time.Duration
+	// Shared tells that the instances tell each other what waits at the targets, which do not
+	// report it; see Queued.
+	Shared bool
 	// Fetch tells that an engine can get KV cache from another one before it processes a
 	// prompt.
 	Fetch bool
