--- a/router/accounting.go
+++ b/router/accounting.go
@@ -65,8 +65,10 @@
 	defer r.settle(c.slot)
 	d.past.note(now, d.waiting, d.own)
 	d.own++
-	for _, h := range req.Pieces {
-		r.prefixes.add(h, c.slot, now) // an engine keeps what it imports like its own
+	if req.Need != NeedDecode || r.cfg.Fetch { // an engine that can fetch keeps what it imports like its own
+		for _, h := range req.Pieces {
+			r.prefixes.add(h, c.slot, now)
+		}
 	}
 	if req.Need == NeedDecode {
 		return
