instance: a voter that hears no leader sends targets elsewhere

In a large fleet the reply names the address to stay with, idle connections to control end after 5 s; and since a target that stays with an isolated voter would be lost to the others, such a voter refuses announcements.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -339,6 +339,14 @@
 	})
 }
 
+// Large reports whether targets should stay with the instance that they announce themselves
+// to.
+func (f *Fleet) Large() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Large()
+}
+
 // Record returns what is known of a target.
 func (f *Fleet) Record(id ident.TargetID) (target.Record, bool) {
 	f.mu.Lock()
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -28,8 +28,11 @@
 
 // Bounds of the HTTP listeners.
 const (
-	headerTime   = 5 * time.Second
-	idleTime     = 60 * time.Second
+	headerTime = 5 * time.Second
+	idleTime   = 60 * time.Second
+	// controlIdle is the longest idle time of a connection to control: longer than targets
+	// are silent, and short enough that those which turn to others leave no connections behind.
+	controlIdle  = 5 * time.Second
 	maxHeader    = 64 << 10
 	shutdownTime = 5 * time.Second
 )
@@ -39,7 +42,7 @@
 	if in.callerTLS != nil {
 		l = tls.NewListener(l, in.callerTLS)
 	}
-	return in.serve(ctx, l, in.callerHandler())
+	return in.serve(ctx, l, in.callerHandler(), idleTime)
 }
 
 // callerHandler serves callers by the protocol that the settings name.
@@ -66,13 +69,13 @@
 	if in.settings.Wire == settings.WirePlatform {
 		in.mountPlatform(r)
 	}
-	return in.serve(ctx, in.listeners.control, r)
+	return in.serve(ctx, in.listeners.control, r, controlIdle)
 }
 
 func (in *Instance) serveMetrics(ctx context.Context) error {
 	r := chi.NewRouter()
 	r.Method(http.MethodGet, "/metrics", in.metrics.Handler())
-	return in.serve(ctx, in.listeners.metrics, r)
+	return in.serve(ctx, in.listeners.metrics, r, controlIdle)
 }
 
 // mountPlatform adds the users' platform's calls of targets and operators.
@@ -83,23 +86,51 @@
 			desired.RolePrefill: in.settings.Routing.Prefill, desired.RoleMixed: in.settings.Routing.Mixed,
 		},
 		Take:  in.announced,
-		Leave: func(id ident.TargetID, start ident.Incarnation) { in.fleet.Leave(clock.Now(), id, start) },
+		Leave: in.left,
 	}
 	as.Mount(r)
 	(&platform.Operator{Leader: in.leader, Log: in.log}).Mount(r)
 }
 
+// inTouch returns an error if other instances may not learn what this one is told: its
+// voter hears no leader. Targets then turn to another instance.
+func (in *Instance) inTouch() error {
+	if in.voter == nil {
+		return nil
+	}
+	if node := in.voter.node.Load(); node == nil || node.Status().Leader.ID == "" {
+		return fault.WithRan(fault.New(fault.NoQuorum, "this voter hears no leader"), fault.RanNo)
+	}
+	return nil
+}
+
+// left takes a target's word that it leaves.
+func (in *Instance) left(id ident.TargetID, start ident.Incarnation) error {
+	if err := in.inTouch(); err != nil {
+		return err
+	}
+	in.fleet.Leave(clock.Now(), id, start)
+	return nil
+}
+
 // announced takes a target's announcement, and notes what it changes.
-func (in *Instance) announced(a target.Announcement) {
+func (in *Instance) announced(a target.Announcement) (stay string, err error) {
+	if err := in.inTouch(); err != nil {
+		return "", err
+	}
+	if in.fleet.Large() {
+		stay = in.settings.Control
+	}
 	old, known := in.fleet.Record(a.Target)
 	in.fleet.Announce(clock.Now(), a)
 	if known && old.Incarnation == a.Incarnation && old.Leaving == a.Leaving && old.Address == a.Address && roleOf(old.Engine) == roleOf(a.Engine) {
-		return
+		return stay, nil
 	}
 	in.log.WithFields(logrus.Fields{
 		"event": "target_changed", "target": a.Target, "service": a.Service, "address": a.Address, "start": a.Incarnation,
 		"sequence": a.Sequence, "leaving": a.Leaving, "role": roleOf(a.Engine),
 	}).Info("target announced a change")
+	return stay, nil
 }
 
 func roleOf(e *target.EngineReport) desired.Role {
@@ -146,9 +177,9 @@
 }
 
 // serve answers HTTP until ctx ends, then lets running handlers end.
-func (in *Instance) serve(ctx context.Context, l net.Listener, h http.Handler) error {
+func (in *Instance) serve(ctx context.Context, l net.Listener, h http.Handler, idle time.Duration) error {
 	server := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
+		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idle, MaxHeaderBytes: maxHeader,
 	}
 	g := duty.New(ctx)
 	g.Go("serve", func(context.Context) error {
--- a/target/listing.go
+++ b/target/listing.go
@@ -117,7 +117,7 @@
 		since.Revision = 0
 	}
 	l := Listing{}
-	if t.quiet() {
+	if t.Large() {
 		l.Floor = t.floor()
 		t.findSilent(now)
 	}
@@ -155,8 +155,6 @@
 	floorPart = 0.6
 )
 
-func (t *Table) quiet() bool { return len(t.records) >= quietFrom }
-
 func (t *Table) floor() time.Duration { return time.Duration(floorPart * float64(t.longest)) }
 
 // findSilent notes the targets whose leases have become shorter than the floor.
