--- a/cmd/hickoryctl/main.go
+++ b/cmd/hickoryctl/main.go
@@ -20,6 +20,7 @@
   drain TARGET                  take a target out of service
   undrain TARGET                put a target back into service
   receipt TENANT SERVICE KEY    print what is known of a request that runs once
+  explain REQUEST LOG...        tell from log files what became of a request
   voter add INSTANCE            admit an instance's disk as a voter, in place of its old one
   voter remove INSTANCE         remove an instance from the voters
 
@@ -34,19 +35,21 @@
 // command runs one command with its arguments.
 type command struct {
 	args int
+	more bool // more arguments may follow
 	run  func(c *client, args []string) int
 }
 
 var commands = map[string]command{
-	"check":   {1, check},
-	"apply":   {1, apply},
-	"show":    {0, show},
-	"status":  {0, status},
-	"targets": {0, targets},
-	"drain":   {1, func(c *client, args []string) int { return setDrained(c, args[0], true) }},
-	"undrain": {1, func(c *client, args []string) int { return setDrained(c, args[0], false) }},
-	"receipt": {3, receipt},
-	"voter":   {2, voter},
+	"check":   {args: 1, run: check},
+	"apply":   {args: 1, run: apply},
+	"show":    {args: 0, run: show},
+	"status":  {args: 0, run: status},
+	"targets": {args: 0, run: targets},
+	"drain":   {args: 1, run: func(c *client, args []string) int { return setDrained(c, args[0], true) }},
+	"undrain": {args: 1, run: func(c *client, args []string) int { return setDrained(c, args[0], false) }},
+	"receipt": {args: 3, run: receipt},
+	"explain": {args: 2, more: true, run: explain},
+	"voter":   {args: 2, run: voter},
 }
 
 func run(args []string, out, errs io.Writer) int {
@@ -64,7 +67,7 @@
 	}
 	name, rest := flags.Arg(0), flags.Args()[1:]
 	cmd, ok := commands[name]
-	if !ok || len(rest) != cmd.args {
+	if !ok || len(rest) < cmd.args || len(rest) > cmd.args && !cmd.more {
 		_, _ = fmt.Fprintf(errs, "hickoryctl: %q with %d arguments is not a command\n", name, len(rest))
 		flags.Usage()
 		return cli.ExitInvalid
--- /dev/null
+++ b/dispatch/delivery.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/hickoryridge/hickoryridge/desired"
+	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/target/event"
+)
+
+// whole reads an answer to its end before it passes it on.
+func (r *forwardRun) whole(ctx context.Context, a *Assignment, answer Answered) (again bool, err error) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWhole+1))
+	if err == nil && len(body) > maxWhole {
+		err = fault.New(fault.TooLarge, "answer of more than %d bytes", maxWhole)
+	}
+	if err != nil {
+		return r.broken(ctx, a, err)
+	}
+	a.First()
+	failed := answer.Status >= http.StatusInternalServerError
+	if failed && r.f.Rule.Repeat == desired.RepeatWhole && r.mayRepeat() && ctx.Err() == nil && r.d.mayRetry(r.f.Service) {
+		return r.instead(ctx, answer, body)
+	}
+	return false, r.deliver(answer, body)
+}
+
+// instead tries another target after one that answered with a failure, and delivers that
+// failure if there is nothing better.
+func (r *forwardRun) instead(ctx context.Context, answer Answered, body []byte) (again bool, err error) {
+	r.unknown = true
+	if _, err := r.attempt(ctx); err == nil || r.begun || r.gone != nil {
+		return false, err
+	}
+	return false, r.deliver(answer, body)
+}
+
+func (r *forwardRun) deliver(answer Answered, body []byte) error {
+	r.free(max(0, clock.Now().Sub(r.started)-r.entered.Cost))
+	r.d.cfg.Metrics.First("", ident.ClassID(r.f.Rule.Name), clock.Now().Sub(r.f.Arrived))
+	r.begun = true
+	r.first = clock.Now()
+	if err := r.sink.Begin(answer.Status, answer.Header); err != nil {
+		r.gone = err
+		return err
+	}
+	if err := r.sink.Write(body); err != nil {
+		r.gone = err
+		return err
+	}
+	return nil
+}
+
+// broken takes an answer that broke off.
+func (r *forwardRun) broken(ctx context.Context, a *Assignment, err error) (again bool, _ error) {
+	r.unknown = true
+	if ctx.Err() == nil {
+		a.Failed()
+	}
+	again = r.mayRepeat() && (!r.begun || r.f.Rule.Repeat == desired.RepeatResume)
+	return again, fault.New(fault.TargetFailed, "target %s: answer broke off: %v", a.Choice.ID, err)
+}
+
+// stream passes whole events on as they arrive.
+func (r *forwardRun) stream(ctx context.Context, a *Assignment, answer Answered) (again bool, err error) {
+	var cutter event.Cutter
+	buf := make([]byte, streamBuffer)
+	for {
+		n, err := answer.Body.Read(buf)
+		cutter.Add(buf[:n])
+		if events, id := cutter.Take(); events != nil {
+			if id != "" {
+				r.after = id
+			}
+			if err := r.pass(a, answer, events); err != nil {
+				r.gone = err
+				return false, err
+			}
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return r.broken(ctx, a, err)
+		}
+	}
+	if cutter.Rest() > 0 {
+		return r.broken(ctx, a, io.ErrUnexpectedEOF)
+	}
+	if r.begun {
+		return false, nil
+	}
+	r.begun = true
+	return false, r.sink.Begin(answer.Status, answer.Header)
+}
+
+// pass delivers events of the answer.
+func (r *forwardRun) pass(a *Assignment, answer Answered, events []byte) error {
+	now := clock.Now()
+	class := ident.ClassID(r.f.Rule.Name)
+	if !r.delivered {
+		r.delivered = true
+		r.first = now
+		r.d.cfg.Metrics.First("", class, now.Sub(r.f.Arrived))
+	} else {
+		r.d.cfg.Metrics.Between("", class, now.Sub(r.last))
+	}
+	a.First()
+	r.free(max(0, now.Sub(r.started)-r.entered.Cost))
+	r.last = now
+	if !r.begun {
+		r.begun = true
+		if err := r.sink.Begin(answer.Status, answer.Header); err != nil {
+			return err
+		}
+	}
+	return r.sink.Write(events)
+}
--- /dev/null
+++ b/settings/validate.go
@@ -0,0 +1,126 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"slices"
+
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/strict"
+)
+
+// validate returns every fault of decoded settings.
+func (s *Settings) validate() strict.Faults {
+	var fs strict.Faults
+	required := []struct{ path, value string }{
+		{"$.instance", string(s.Instance)}, {"$.region", string(s.Region)}, {"$.domain", string(s.Domain)},
+	}
+	for _, f := range required {
+		if f.value == "" {
+			fs.Add(f.path, "is missing")
+		}
+	}
+	if s.Wire != "" && s.Wire != WirePlatform {
+		fs.Add("$.wire", "want nothing or %q, not %q", WirePlatform, s.Wire)
+	}
+	s.validateAddresses(&fs)
+	s.validatePeers(&fs)
+	s.validateTLS(&fs)
+	s.validateNumbers(&fs)
+	if !slices.Contains([]string{"", "debug", "info", "warn", "error"}, s.Log.Level) {
+		fs.Add("$.log.level", "want debug, info, warn or error, not %q", s.Log.Level)
+	}
+	return fs
+}
+
+func checkAddress(fs *strict.Faults, path, value string) {
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		fs.Add(path, "want host:port, not %q", value)
+	}
+}
+
+func (s *Settings) validatePeers(fs *strict.Faults) {
+	seen := map[ident.InstanceID]bool{s.Instance: true}
+	for i, p := range s.Peers {
+		path := fmt.Sprintf("$.peers[%d]", i)
+		if p.Instance == "" || seen[p.Instance] {
+			fs.Add(path+".instance", "%q is empty, this instance or named twice", p.Instance)
+		}
+		seen[p.Instance] = true
+		checkAddress(fs, path+".address", p.Address)
+	}
+	if len(s.Peers) > 0 && len(s.Seeds) > 0 {
+		fs.Add("$.seeds", "peers are listed already")
+	}
+	if len(s.Seeds) == 0 && len(s.Voters()) == 0 {
+		fs.Add("$.peers", "no instance is a voter: name a data folder or mark a peer as voter")
+	}
+}
+
+func (s *Settings) validateTLS(fs *strict.Faults) {
+	pairs := []struct {
+		path string
+		pair KeyPair
+		ca   bool
+	}{{"$.tls.callers", s.TLS.Callers, false}, {"$.tls.peers", s.TLS.Peers, true}}
+	for _, p := range pairs {
+		if !p.pair.Set() {
+			continue
+		}
+		checkFile(fs, p.path+".cert", p.pair.Cert)
+		checkFile(fs, p.path+".key", p.pair.Key)
+		if p.ca {
+			checkFile(fs, p.path+".ca", p.pair.CA)
+		}
+	}
+}
+
+func checkFile(fs *strict.Faults, path, name string) {
+	if name == "" {
+		fs.Add(path, "is missing")
+		return
+	}
+	if _, err := os.Stat(name); err != nil {
+		fs.Add(path, "%v", err)
+	}
+}
+
+func (s *Settings) validateAddresses(fs *strict.Faults) {
+	checkAddress(fs, "$.control", s.Control)
+	checkAddress(fs, "$.peer", s.Peer)
+	if s.Callers != "" || !s.Voter() {
+		checkAddress(fs, "$.callers", s.Callers)
+	}
+	if s.Metrics != "" {
+		checkAddress(fs, "$.metrics", s.Metrics)
+	}
+	for i, seed := range s.Seeds {
+		checkAddress(fs, fmt.Sprintf("$.seeds[%d]", i), seed)
+	}
+}
+
+func (s *Settings) validateNumbers(fs *strict.Faults) {
+	if s.Routing.Cross < 0 || s.Routing.Handover < 0 || s.Routing.Move < 0 || s.Routing.Reread < 0 || s.Routing.Prefill < 0 || s.Routing.Mixed < 0 {
+		fs.Add("$.routing", "has a negative number")
+	}
+	t := s.Timing
+	if t.Linger < 0 || t.Grace < 0 || t.Heartbeat < 0 || t.Contact < 0 {
+		fs.Add("$.timing", "linger, grace, heartbeat or contact is negative")
+	}
+	if s.Limits.Memory < 0 {
+		fs.Add("$.limits.memory", "is negative")
+	}
+	if s.Retries.Ratio < 0 || s.Retries.Slack < 0 || s.Retries.Window < 0 {
+		fs.Add("$.retries", "has a negative number")
+	}
+	if s.Limits.Running < 0 {
+		fs.Add("$.limits.running", "is negative")
+	}
+	if s.Limits.Body < 0 {
+		fs.Add("$.limits.body", "is negative")
+	}
+	if s.Timing.Stop < 0 || s.Timing.Idle < 0 {
+		fs.Add("$.timing", "has a negative duration")
+	}
+}
