--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -347,6 +347,16 @@
 	return f.table.Large()
 }
 
+// Empty reports whether no target is usable.
+func (f *Fleet) Empty() bool {
+	now := clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	empty := true
+	f.table.Each(func(r *target.Record) { empty = empty && !r.Usable(now) })
+	return empty
+}
+
 // Record returns what is known of a target.
 func (f *Fleet) Record(id ident.TargetID) (target.Record, bool) {
 	f.mu.Lock()
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -21,6 +21,7 @@
 	eachHolder = 2 * time.Millisecond
 	// pullEvery is the interval at which instances ask each other for targets.
 	pullEvery   = 500 * time.Millisecond
+	pullEager   = 100 * time.Millisecond
 	pullTime    = 1 * time.Second
 	gaugesEvery = 1 * time.Second
 	shareEvery  = 200 * time.Millisecond
@@ -122,11 +123,20 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(in.spaced(pullEvery)):
+		case <-time.After(in.pullPause()):
 		}
 	}
 }
 
+// pullPause returns the wait between two questions. An instance that knows no usable target
+// asks more often.
+func (in *Instance) pullPause() time.Duration {
+	if in.fleet.Empty() {
+		return pullEager
+	}
+	return in.spaced(pullEvery)
+}
+
 // spaced returns an interval of questions, longer where many instances ask them.
 func (in *Instance) spaced(d time.Duration) time.Duration {
 	return d + time.Duration(in.sharing.Load())*eachHolder
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -115,12 +115,14 @@
 
 // announced takes a target's announcement, and notes what it changes.
 func (in *Instance) announced(a target.Announcement) (stay string, err error) {
-	if err := in.inTouch(); err != nil {
-		return "", err
-	}
 	if in.fleet.Large() {
 		stay = in.settings.Control
 	}
+	// That a target is there may be heard before there is a leader, so that it can be told at
+	// once when there is one. That it leaves is acknowledged only where others learn of it.
+	if err := in.inTouch(); err != nil && (a.Leaving || stay != "") {
+		return "", err
+	}
 	old, known := in.fleet.Record(a.Target)
 	in.fleet.Announce(clock.Now(), a)
 	if known && old.Incarnation == a.Incarnation && old.Leaving == a.Leaving && old.Address == a.Address && roleOf(old.Engine) == roleOf(a.Engine) {
