--- a/instance/instance.go
+++ b/instance/instance.go
@@ -67,11 +67,12 @@
 	dispatcher *dispatch.Dispatcher
 	metrics    *metrics.Metrics
 	stopping   atomic.Bool
-	lingering  atomic.Bool                       // stopping, but requests are still taken
+	lingers    chan struct{}                     // closed when the instance stops but still takes requests
 	reloaded   atomic.Pointer[settings.Settings] // the newest settings
 	confirmed  state.Version                     // newest view that the leader knows to be in force here; owned by the lease duty
 	holds      bool                              // the configuration lease when it was last looked at; owned by the lease duty
 	holders    int                               // instances that share the retries; owned by the lease duty
+	touched    atomic.Bool                       // a leader has been heard in this run
 	sharing    atomic.Int64                      // holders, for other duties
 	ready      chan struct{}
 }
@@ -85,7 +86,7 @@
 func New(s *settings.Settings, logger *logrus.Logger) (*Instance, error) {
 	boot := ident.BootID(ident.NewRandom())
 	in := &Instance{
-		settings: s, boot: boot, ready: make(chan struct{}),
+		settings: s, boot: boot, ready: make(chan struct{}), lingers: make(chan struct{}),
 		log:     logger.WithFields(logrus.Fields{"instance": s.Instance}),
 		gate:    dispatch.NewGate(),
 		engines: engine.NewClient(s.IdleLimit()),
@@ -285,7 +286,7 @@
 	if wait == 0 {
 		return
 	}
-	in.lingering.Store(true)
+	close(in.lingers)
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
--- a/instance/leaderclient.go
+++ b/instance/leaderclient.go
@@ -8,6 +8,7 @@
 
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/receipt"
@@ -18,6 +19,9 @@
 	// tryTime bounds one question to one voter; a frozen leader costs this much.
 	tryTime  = 800 * time.Millisecond
 	tryPause = 40 * time.Millisecond
+	// passOver is the time for which a voter that gave no answer is not asked again, while
+	// there are others.
+	passOver = 1 * time.Second
 )
 
 // leaderClient asks the leader of the quorum, wherever it is. Every command of the
@@ -30,9 +34,10 @@
 	call   func(ctx context.Context, to ident.InstanceID, b peer.Body) (peer.Body, error)
 	found  func(seed.Instance) // takes the leader's address; nil where settings list it
 
-	mu   sync.Mutex
-	hint ident.InstanceID
-	next int
+	mu     sync.Mutex
+	hint   ident.InstanceID
+	next   int
+	silent map[ident.InstanceID]clock.Time // voters that gave no answer, and until when they are passed over
 }
 
 var _ receipt.Log = (*leaderClient)(nil)
@@ -90,13 +95,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	voters := c.voters()
-	if c.hint == "" && len(voters) > 0 {
+	for range voters {
+		if c.hint != "" && !c.passed(c.hint) {
+			break
+		}
 		c.hint = voters[c.next%len(voters)]
 		c.next++
 	}
 	return c.hint
 }
 
+// passed reports whether a voter is passed over: it gave no answer a moment ago, and voters
+// that have not noticed yet go on naming it as leader.
+func (c *leaderClient) passed(id ident.InstanceID) bool { return clock.Now().Before(c.silent[id]) }
+
 func (c *leaderClient) learn(to ident.InstanceID) {
 	c.mu.Lock()
 	c.hint = to
@@ -110,6 +122,12 @@
 	if c.hint == to {
 		c.hint = ""
 	}
+	if fault.Is(err, fault.NoQuorum) {
+		if c.silent == nil {
+			c.silent = map[ident.InstanceID]clock.Time{}
+		}
+		c.silent[to] = clock.Now().Add(passOver)
+	}
 	var remote *peer.RemoteError
 	if errors.As(err, &remote) && remote.Failure.Leader != "" && remote.Failure.Leader != to {
 		c.hint = remote.Failure.Leader
--- a/instance/leaderclient_test.go
+++ b/instance/leaderclient_test.go
@@ -49,3 +49,34 @@
 		})
 	}
 }
+
+// TestFrozenLeader checks that a client does not go back to a leader that gives no answer
+// because other voters still name it.
+func TestFrozenLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		elected := time.Now().Add(700 * time.Millisecond)
+		c := &leaderClient{voters: func() []ident.InstanceID { return []ident.InstanceID{"old", "v1", "v2"} }, hint: "old"}
+		c.call = func(ctx context.Context, to ident.InstanceID, _ peer.Body) (peer.Body, error) {
+			leader := ident.InstanceID("old")
+			if time.Now().After(elected) {
+				leader = "v2"
+			}
+			switch {
+			case to == "old":
+				<-ctx.Done()
+				return nil, fault.New(fault.NoQuorum, "no reply")
+			case to == leader:
+				return &peer.Done{}, nil
+			default:
+				return nil, fault.Wrap(fault.NotLeader, &peer.RemoteError{Failure: peer.Failure{Kind: fault.NotLeader, Leader: leader}})
+			}
+		}
+		began := time.Now()
+		if err := c.Member(t.Context(), peer.Member{}); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took > tryTime+200*time.Millisecond {
+			t.Errorf("found the new leader after %v", took)
+		}
+	})
+}
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -101,6 +101,7 @@
 	if node := in.voter.node.Load(); node == nil || node.Status().Leader.ID == "" {
 		return fault.WithRan(fault.New(fault.NoQuorum, "this voter hears no leader"), fault.RanNo)
 	}
+	in.touched.Store(true)
 	return nil
 }
 
@@ -115,14 +116,16 @@
 
 // announced takes a target's announcement, and notes what it changes.
 func (in *Instance) announced(a target.Announcement) (stay string, err error) {
-	if in.fleet.Large() {
-		stay = in.settings.Control
-	}
 	// That a target is there may be heard before there is a leader, so that it can be told at
-	// once when there is one. That it leaves is acknowledged only where others learn of it.
-	if err := in.inTouch(); err != nil && (a.Leaving || stay != "") {
+	// once when there is one. That it leaves is acknowledged only where others learn of it, and
+	// one that stays here is sent away when this voter has lost the others.
+	large, err := in.fleet.Large(), in.inTouch()
+	if err != nil && (a.Leaving || large && in.touched.Load()) {
 		return "", err
 	}
+	if err == nil && large {
+		stay = in.settings.Control
+	}
 	old, known := in.fleet.Record(a.Target)
 	in.fleet.Announce(clock.Now(), a)
 	if known && old.Incarnation == a.Incarnation && old.Leaving == a.Leaving && old.Address == a.Address && roleOf(old.Engine) == roleOf(a.Engine) {
@@ -184,6 +187,14 @@
 		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idle, MaxHeaderBytes: maxHeader,
 	}
 	g := duty.New(ctx)
+	g.Go("linger", func(ctx context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-in.lingers:
+			server.SetKeepAlivesEnabled(false) // what still comes is answered, and its connection closed
+		}
+		return nil
+	})
 	g.Go("serve", func(context.Context) error {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
--- a/leader/leases.go
+++ b/leader/leases.go
@@ -22,7 +22,7 @@
 
 // Intervals of configuration leases.
 const (
-	LeaseDuration = 1500 * time.Millisecond
+	LeaseDuration = 2 * time.Second
 	// HoldTime is the longest time for which the leader holds back an answer that
 	// brings no new view.
 	HoldTime = 300 * time.Millisecond
