--- a/admit/admit.go
+++ b/admit/admit.go
@@ -18,6 +18,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -185,7 +186,7 @@
 	}
 	deadline := l.deadline(now, r, entitled)
 	if now.Add(l.waitFor(t, r)).After(deadline) {
-		return refuse(r, fault.DeadlineUnreachable, l.backlog(), "the objective for the first token cannot be met"), true
+		return refuse(r, fault.DeadlineUnreachable, l.backlog(), "the objective for the first token cannot be met: %s", l), true
 	}
 	q.push(t, l, &item{req: r, lane: l, deadline: deadline, entitled: entitled})
 	return Verdict{}, false
@@ -259,6 +260,13 @@
 	return l.timeFor(ahead + 1)
 }
 
+// String tells the state of a lane for logs: what waits, what is at the targets, and how
+// long that takes.
+func (l *lane) String() string {
+	return fmt.Sprintf("%d wait, %d at the targets hold %.0f of %.0f ms of work, each %.0f ms",
+		len(l.waiting), l.window.n, 1e3*l.window.used, 1e3*l.window.limit, 1e3*l.hold)
+}
+
 func (l *lane) backlog() time.Duration { return l.timeFor(len(l.waiting) + 1) }
 
 // timeFor returns the time in which n places become free. Requests wait only while
@@ -382,7 +390,7 @@
 	}
 	for _, it := range late {
 		q.remove(it)
-		verdicts = append(verdicts, refuse(it.req, fault.DeadlineUnreachable, l.backlog(), "the objective for the first token cannot be met any more"))
+		verdicts = append(verdicts, refuse(it.req, fault.DeadlineUnreachable, l.backlog(), "the objective for the first token cannot be met any more: %s", l))
 	}
 	return verdicts
 }
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -109,7 +110,11 @@
 
 // fail says what is known of a request that was not answered whole.
 func (r *forwardRun) fail(ctx context.Context, err error) error {
-	late := ctx.Err() != nil && r.gone == nil && !r.begun
+	left := errors.Is(ctx.Err(), context.Canceled)
+	late := ctx.Err() != nil && !left && !r.begun
+	if left {
+		err = fault.WithRan(fault.New(fault.TargetFailed, "the caller left: %v", err), fault.RanNo)
+	}
 	switch {
 	case r.begun:
 		err = &ErrBroken{err}
