Reverted: listings that leave out heartbeats, targets that stay with one voter

Cause as far as traced: late heartbeats made targets silent and listed them anew in full, which made more heartbeats late. An empty entry asks every 0.1 s at first, and less and less often.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -339,14 +339,6 @@
 	})
 }
 
-// Large reports whether targets should stay with the instance that they announce themselves
-// to.
-func (f *Fleet) Large() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.table.Large()
-}
-
 // Empty reports whether no target is usable.
 func (f *Fleet) Empty() bool {
 	now := clock.Now()
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -104,6 +104,7 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	wait := pullEager
 	for {
 		for _, id := range in.network.Peers() {
 			mu.Lock()
@@ -123,16 +124,16 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(in.pullPause()):
+		case <-time.After(wait):
 		}
 	}
 }
 
-// pullPause returns the wait between two questions. An instance that knows no usable target
-// asks more often.
-func (in *Instance) pullPause() time.Duration {
+// pullPause returns the wait between two questions, given the one before. An instance that
+// knows no usable target asks more often, but less and less so.
+func (in *Instance) pullPause(before time.Duration) time.Duration {
 	if in.fleet.Empty() {
-		return pullEager
+		return min(before+before/4, in.spaced(pullEvery))
 	}
 	return in.spaced(pullEvery)
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -72,7 +72,6 @@
 	confirmed  state.Version                     // newest view that the leader knows to be in force here; owned by the lease duty
 	holds      bool                              // the configuration lease when it was last looked at; owned by the lease duty
 	holders    int                               // instances that share the retries; owned by the lease duty
-	touched    atomic.Bool                       // a leader has been heard in this run
 	sharing    atomic.Int64                      // holders, for other duties
 	ready      chan struct{}
 }
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -101,7 +101,6 @@
 	if node := in.voter.node.Load(); node == nil || node.Status().Leader.ID == "" {
 		return fault.WithRan(fault.New(fault.NoQuorum, "this voter hears no leader"), fault.RanNo)
 	}
-	in.touched.Store(true)
 	return nil
 }
 
@@ -115,27 +114,22 @@
 }
 
 // announced takes a target's announcement, and notes what it changes.
-func (in *Instance) announced(a target.Announcement) (stay string, err error) {
+func (in *Instance) announced(a target.Announcement) error {
 	// That a target is there may be heard before there is a leader, so that it can be told at
-	// once when there is one. That it leaves is acknowledged only where others learn of it, and
-	// one that stays here is sent away when this voter has lost the others.
-	large, err := in.fleet.Large(), in.inTouch()
-	if err != nil && (a.Leaving || large && in.touched.Load()) {
-		return "", err
-	}
-	if err == nil && large {
-		stay = in.settings.Control
+	// once when there is one. That it leaves is acknowledged only where others learn of it.
+	if err := in.inTouch(); err != nil && a.Leaving {
+		return err
 	}
 	old, known := in.fleet.Record(a.Target)
 	in.fleet.Announce(clock.Now(), a)
 	if known && old.Incarnation == a.Incarnation && old.Leaving == a.Leaving && old.Address == a.Address && roleOf(old.Engine) == roleOf(a.Engine) {
-		return stay, nil
+		return nil
 	}
 	in.log.WithFields(logrus.Fields{
 		"event": "target_changed", "target": a.Target, "service": a.Service, "address": a.Address, "start": a.Incarnation,
 		"sequence": a.Sequence, "leaving": a.Leaving, "role": roleOf(a.Engine),
 	}).Info("target announced a change")
-	return stay, nil
+	return nil
 }
 
 func roleOf(e *target.EngineReport) desired.Role {
--- a/target/listing.go
+++ b/target/listing.go
@@ -22,10 +22,6 @@
 	Next       Cursor // for the next question
 	Full       []Shared
 	Heartbeats []Heartbeat
-	// Floor is a time for which the leases of all targets that this instance has ever listed
-	// still hold, but for those that were listed as silent since; 0 says nothing of them.
-	Floor  time.Duration
-	Silent []uint32 // numbers of targets that have become silent
 }
 
 // Shared is the announcement of a target that the receiver does not know yet, or
@@ -51,8 +47,7 @@
 // listings. A revision counts the direct announcements to the table.
 type published struct {
 	number   uint32
-	revision uint64   // of the newest announcement, or of its becoming silent
-	silent   uint64   // revision at which the target became silent; 0 if it is not
+	revision uint64   // of the newest announcement
 	full     uint64   // of the newest that changed more than the load
 	events   []uint64 // of the record's cache events
 }
@@ -67,7 +62,7 @@
 		r.published = published{number: t.numbers, full: t.revision}
 	} else {
 		r.published = published{number: before.published.number, full: before.published.full}
-		if !sameButLoad(&r.Announcement, &before.Announcement) || before.published.silent > 0 {
+		if !sameButLoad(&r.Announcement, &before.Announcement) {
 			r.published.full = t.revision
 		}
 	}
@@ -116,12 +111,7 @@
 	if since.Run != t.run {
 		since.Revision = 0
 	}
-	l := Listing{}
-	if t.Large() {
-		l.Floor = t.floor()
-		t.findSilent(now)
-	}
-	l.Next = Cursor{Run: t.run, Revision: t.revision}
+	l := Listing{Next: Cursor{Run: t.run, Revision: t.revision}}
 	for _, r := range t.records {
 		if !r.Direct || r.published.revision <= since.Revision {
 			continue
@@ -132,43 +122,11 @@
 			l.Full = append(l.Full, Shared{Number: r.published.number, Announcement: r.Announcement, Remaining: remaining})
 			continue
 		}
-		switch {
-		case l.Floor == 0 || r.Load.Measured > 0 || len(r.Cache) > 0:
-			l.Heartbeats = append(l.Heartbeats, r.heartbeat(since, remaining))
-		case r.published.silent > since.Revision:
-			l.Silent = append(l.Silent, r.published.number)
-		}
+		l.Heartbeats = append(l.Heartbeats, r.heartbeat(since, remaining))
 	}
 	return l
 }
 
-// Load pattern: thousands of targets announce themselves every second, and hundreds of
-// instances ask for it. Heartbeats that bring no news would be most of the traffic, in the
-// product of the two numbers. So in a large fleet a listing leaves them out, names the
-// few targets that have become silent, and gives one lower bound for the leases of all others.
-
-const (
-	// quietFrom is the number of targets that announce themselves here from which on heartbeats without news are left out.
-	quietFrom = 100
-	// floorPart is the part of the longest lease that is left in a target's lease just
-	// before its next heartbeat.
-	floorPart = 0.6
-)
-
-func (t *Table) floor() time.Duration { return time.Duration(floorPart * float64(t.longest)) }
-
-// findSilent notes the targets whose leases have become shorter than the floor.
-func (t *Table) findSilent(now clock.Time) {
-	for _, r := range t.records {
-		if !r.Direct || r.published.silent > 0 || r.Expires.Sub(now) >= t.floor() {
-			continue
-		}
-		t.revision++
-		r.published.silent = t.revision
-		r.published.revision = t.revision
-	}
-}
-
 func (r *Record) heartbeat(since Cursor, remaining time.Duration) Heartbeat {
 	h := Heartbeat{
 		Number: r.published.number, Sequence: r.Sequence, Remaining: uint32(remaining.Milliseconds()),
@@ -188,7 +146,6 @@
 type source struct {
 	cursor Cursor
 	base   map[uint32]*Announcement // by number, without cache events
-	silent map[uint32]bool          // numbers of targets that have become silent
 }
 
 // Cursor returns the position in another instance's listings.
@@ -216,7 +173,7 @@
 	}
 	s := t.sources[from]
 	if s == nil || l.Next.Run != since.Run {
-		s = &source{base: map[uint32]*Announcement{}, silent: map[uint32]bool{}}
+		s = &source{base: map[uint32]*Announcement{}}
 		t.sources[from] = s
 	}
 	s.cursor = l.Next
@@ -230,7 +187,6 @@
 		base := f.Announcement
 		base.Cache = nil
 		s.base[f.Number] = &base
-		delete(s.silent, f.Number)
 		take(f.Announcement, f.Remaining)
 	}
 	for _, h := range l.Heartbeats {
@@ -241,26 +197,6 @@
 		}
 		take(h.on(base), time.Duration(h.Remaining)*time.Millisecond)
 	}
-	for _, n := range l.Silent {
-		s.silent[n] = true
-	}
-	if l.Floor > 0 {
-		heard = t.extend(s, asked.Add(min(l.Floor, t.longest)), heard)
-	}
-	return heard
-}
-
-// extend makes the leases of a source's targets last until expires, unless they have become
-// silent there.
-func (t *Table) extend(s *source, expires clock.Time, heard []Heard) []Heard {
-	for n, base := range s.base {
-		r := t.records[base.Target]
-		if s.silent[n] || base.Leaving || r == nil || r.Incarnation != base.Incarnation || !r.Expires.Before(expires) {
-			continue
-		}
-		heard = append(heard, Heard{base.Target, *r})
-		r.Expires = expires
-	}
 	return heard
 }
 
@@ -278,7 +214,6 @@
 	for n, a := range s.base {
 		if t.records[a.Target] == nil {
 			delete(s.base, n)
-			delete(s.silent, n)
 		}
 	}
 }
--- a/target/table.go
+++ b/target/table.go
@@ -45,10 +45,6 @@
 // SetLongest sets the bound on leases. Every instance has to have the same one.
 func (t *Table) SetLongest(d time.Duration) { t.longest = d }
 
-// Large reports whether so many targets announce themselves here that each should stay
-// with one instance: listings are short only then; see quietFrom.
-func (t *Table) Large() bool { return len(t.records) >= quietFrom }
-
 // Longest returns the bound on leases.
 func (t *Table) Longest() time.Duration { return t.longest }
 
