--- a/fault/fault_test.go
+++ b/fault/fault_test.go
@@ -33,3 +33,25 @@
 	fmt.Println(err, a.Status, a.Code, a.Ran, a.RetryAfter)
 	// Output: 7 requests wait 503 overloaded no 3s
 }
+
+// TestStatusOf checks that a status which callers take for "not run" is only given where that
+// is known.
+func TestStatusOf(t *testing.T) {
+	for _, k := range Kinds() {
+		for _, ran := range []Ran{RanNo, RanYes, RanUnknown} {
+			err := WithRan(New(k, "x"), ran)
+			switch status := StatusOf(err); status {
+			case 408, 421, 429, 503:
+				if ran != RanNo {
+					t.Errorf("%v with ran=%s: status %d", k, ran, status)
+				}
+			}
+		}
+	}
+	if got := StatusOf(New(Overloaded, "x")); got != 503 {
+		t.Errorf("not run: status %d", got)
+	}
+	if got := StatusOf(New(RetryBudget, "x")); got != 502 {
+		t.Errorf("may have run: status %d", got)
+	}
+}
--- a/instance/leaderclient.go
+++ b/instance/leaderclient.go
@@ -19,6 +19,9 @@
 	// tryTime bounds one question to one voter; a frozen leader costs this much.
 	tryTime  = 800 * time.Millisecond
 	tryPause = 40 * time.Millisecond
+	// maxPause is the longest pause between two tries of one question. Pauses double up to it:
+	// hundreds of instances without a leader would keep the voters too busy to elect one.
+	maxPause = 320 * time.Millisecond
 	// passOver is the time for which a voter that gave no answer is not asked again, while
 	// there are others.
 	passOver = 1 * time.Second
@@ -45,6 +48,7 @@
 // ask puts b to voters until one answers as leader.
 func (c *leaderClient) ask(ctx context.Context, b peer.Body) (peer.Body, error) {
 	ran := fault.RanNo // of all tries so far
+	pause := tryPause
 	for {
 		to := c.choose()
 		reply, err := c.askOne(ctx, to, b)
@@ -64,8 +68,9 @@
 		select {
 		case <-ctx.Done():
 			return nil, fault.WithRan(err, ran)
-		case <-time.After(tryPause):
+		case <-time.After(pause):
 		}
+		pause = min(2*pause, maxPause)
 	}
 }
 
