--- a/instance/joining.go
+++ b/instance/joining.go
@@ -11,6 +11,7 @@
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
+	"github.com/hickoryridge/hickoryridge/internal/duty"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/quorum"
 )
@@ -51,20 +52,13 @@
 
 // join is the duty that asks the leader to add this disk while it has no vote.
 func (v *voter) join(ctx context.Context) error {
-	ticker := time.NewTicker(joinEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	return duty.Every(ctx, joinEvery, func(ctx context.Context) {
 		if !v.stray() {
-			continue
+			return
 		}
 		err := v.askToJoin(ctx)
 		v.in.log.WithFields(logrus.Fields{"event": "join_asked", "disk": v.disk().Disk(), "cause": err}).Info("asked to be added as voter")
-	}
+	})
 }
 
 func (v *voter) askToJoin(ctx context.Context) error {
@@ -89,26 +83,21 @@
 
 // reap is the duty of the leader that removes voters that are lost for good.
 func (v *voter) reap(ctx context.Context) error {
-	ticker := time.NewTicker(reapEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-		node, _, err := v.lead()
-		if err != nil {
-			continue // another instance leads
-		}
-		lost, ok := lostMember(clock.Now(), node.MemberStates(), v.disk().Disk())
-		if !ok || !v.changes.TryLock() {
-			continue
-		}
-		err = v.removeDisk(ctx, node, lost.Disk)
-		v.changes.Unlock()
-		v.in.log.WithFields(logrus.Fields{"event": "member_lost", "member": lost.ID, "disk": lost.Disk, "cause": err}).Warn("silent voter removed")
+	return duty.Every(ctx, reapEvery, v.reapOne)
+}
+
+func (v *voter) reapOne(ctx context.Context) {
+	node, _, err := v.lead()
+	if err != nil {
+		return // another instance leads
+	}
+	lost, ok := lostMember(clock.Now(), node.MemberStates(), v.disk().Disk())
+	if !ok || !v.changes.TryLock() {
+		return
 	}
+	defer v.changes.Unlock()
+	err = v.removeDisk(ctx, node, lost.Disk)
+	v.in.log.WithFields(logrus.Fields{"event": "member_lost", "member": lost.ID, "disk": lost.Disk, "cause": err}).Warn("silent voter removed")
 }
 
 // lostMember returns a member to remove for its silence. Learners go first, and voters
--- a/instance/roster.go
+++ b/instance/roster.go
@@ -11,6 +11,7 @@
 
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
+	"github.com/hickoryridge/hickoryridge/internal/duty"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/quorum"
 )
@@ -162,19 +163,14 @@
 // follow is the duty of a voter that makes its roster follow its replica's
 // membership.
 func (v *voter) follow(ctx context.Context) error {
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
-	for {
-		if node := v.node.Load(); node != nil {
-			st := node.Status()
-			if v.in.roster.Replace(peer.RosterOf(st)) {
-				v.in.log.WithFields(logrus.Fields{"event": "members", "changed": st.Changed, "voters": st.Members.Voters()}).Info("members of the quorum changed")
-			}
+	return duty.Every(ctx, lookEvery, func(context.Context) {
+		node := v.node.Load()
+		if node == nil {
+			return
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
+		st := node.Status()
+		if v.in.roster.Replace(peer.RosterOf(st)) {
+			v.in.log.WithFields(logrus.Fields{"event": "members", "changed": st.Changed, "voters": st.Members.Voters()}).Info("members of the quorum changed")
 		}
-	}
+	})
 }
--- a/plain/forward.go
+++ b/plain/forward.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/fault"
@@ -45,16 +46,22 @@
 
 // hopHeaders are meant for one connection and not passed on.
 var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
-// StripHop returns a copy of h without the headers of one connection.
+// StripHop returns a copy of h without the headers of one connection, which it may name
+// itself.
 func StripHop(h http.Header) http.Header {
 	out := h.Clone()
 	if out == nil {
 		out = http.Header{}
 	}
+	for _, line := range h.Values("Connection") {
+		for _, name := range strings.Split(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopHeaders {
 		out.Del(name)
 	}
