--- a/instance/duties.go
+++ b/instance/duties.go
@@ -125,6 +125,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-time.After(wait):
+			wait = in.pullPause(wait)
 		}
 	}
 }
