--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -12,6 +12,13 @@
 	"github.com/hickoryridge/hickoryridge/internal/target/event"
 )
 
+const (
+	// maxWhole bounds an answer that is no stream, in bytes.
+	maxWhole = 32 << 20
+	// streamBuffer is the size of one read of a stream, in bytes.
+	streamBuffer = 16 << 10
+)
+
 // whole reads an answer to its end before it passes it on.
 func (r *forwardRun) whole(ctx context.Context, a *Assignment, answer Answered) (again bool, err error) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWhole+1))
@@ -24,14 +31,14 @@
 	a.First()
 	failed := answer.Status >= http.StatusInternalServerError
 	if failed && r.f.Rule.Repeat == desired.RepeatWhole && r.mayRepeat() && ctx.Err() == nil && r.d.mayRetry(r.f.Service) {
-		return r.instead(ctx, answer, body)
+		return r.retryFailure(ctx, answer, body)
 	}
 	return false, r.deliver(answer, body)
 }
 
-// instead tries another target after one that answered with a failure, and delivers that
+// retryFailure tries another target after one that answered with a failure, and delivers that
 // failure if there is nothing better.
-func (r *forwardRun) instead(ctx context.Context, answer Answered, body []byte) (again bool, err error) {
+func (r *forwardRun) retryFailure(ctx context.Context, answer Answered, body []byte) (again bool, err error) {
 	r.unknown = true
 	if _, err := r.attempt(ctx); err == nil || r.begun || r.gone != nil {
 		return false, err
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -16,10 +16,6 @@
 )
 
 const (
-	// maxWhole bounds an answer that is no stream, in bytes.
-	maxWhole = 32 << 20
-	// streamBuffer is the size of one read of a stream, in bytes.
-	streamBuffer = 16 << 10
 	// releaseTime bounds the freeing of KV cache that nobody will use.
 	releaseTime = 1 * time.Second
 	// usefulPart is the part of its timeout within which a request is still worth an answer,
@@ -29,15 +25,15 @@
 	maxUnreachable = 3
 )
 
-// ErrBroken is the error of an answer that broke off after its beginning was passed on.
+// BrokenError is the error of an answer that broke off after its beginning was passed on.
 // Its end must not look like that of a whole one.
-type ErrBroken struct{ Err error }
+type BrokenError struct{ Err error }
 
 // Error tells why.
-func (e *ErrBroken) Error() string { return "answer broke off: " + e.Err.Error() }
+func (e *BrokenError) Error() string { return "answer broke off: " + e.Err.Error() }
 
 // Unwrap returns the cause.
-func (e *ErrBroken) Unwrap() error { return e.Err }
+func (e *BrokenError) Unwrap() error { return e.Err }
 
 // forwardRun is the state of one forwarded request.
 type forwardRun struct {
@@ -54,7 +50,7 @@
 
 	sent      int  // targets that may have run it
 	arrived   bool // some target has got it, whatever it did with it
-	vain      int  // targets that were not reached
+	unreached int  // targets that were not reached
 	avoid     ident.TargetID
 	after     string     // id of the last event that was delivered
 	begun     bool       // the answer has begun
@@ -66,7 +62,7 @@
 }
 
 // Forward passes a request on to targets and its answer to sink. An error says with
-// fault.AnswerOf whether the request ran; one of type ErrBroken says that the answer
+// fault.AnswerOf whether the request ran; one of type BrokenError says that the answer
 // has begun and cannot be finished.
 func (d *Dispatcher) Forward(ctx context.Context, f *Forward, sink Sink) error {
 	left := f.left(clock.Now())
@@ -117,7 +113,7 @@
 	}
 	switch {
 	case r.begun:
-		err = &ErrBroken{err}
+		err = &BrokenError{err}
 	case r.unknown && late:
 		err = fault.WithRan(fault.Wrap(fault.Timeout, err), fault.RanUnknown)
 	case r.unknown:
@@ -127,7 +123,7 @@
 	}
 	r.d.cfg.Metrics.Answered("", ident.ClassID(r.f.Rule.Name), fault.Of(err).String())
 	r.d.cfg.Log.WithFields(logrus.Fields{
-		"event": "forward_failed", "request": r.f.ID, "rule": r.f.Rule.Name, "service": r.f.Service, "sent": r.sent, "unreached": r.vain,
+		"event": "forward_failed", "request": r.f.ID, "rule": r.f.Rule.Name, "service": r.f.Service, "sent": r.sent, "unreached": r.unreached,
 		"target": r.avoid, "after": r.after, "number": r.f.Config.Number, "ms": clock.Now().Sub(r.f.Arrived).Milliseconds(), "cause": err,
 	}).Info("request not answered whole")
 	return err
@@ -189,7 +185,7 @@
 		r.d.cfg.Metrics.Count("retried")
 		r.d.cfg.Log.WithFields(logrus.Fields{
 			"event": "forward_again", "request": r.f.ID, "service": r.f.Service, "target": r.avoid,
-			"sent": r.sent, "unreached": r.vain, "after": r.after, "cause": err,
+			"sent": r.sent, "unreached": r.unreached, "after": r.after, "cause": err,
 		}).Info("attempt failed, another follows")
 	}
 }
@@ -311,18 +307,18 @@
 	r.arrived = r.arrived || o.Reason != Unreachable
 	switch o.Reason {
 	case Unreachable:
-		r.vain++
+		r.unreached++
 		if ctx.Err() == nil {
 			a.Failed()
 		}
-		return r.vain < maxUnreachable, err
+		return r.unreached < maxUnreachable, err
 	case Elsewhere:
 		a.Failed()
-		r.vain++
-		return r.vain < maxUnreachable, err
+		r.unreached++
+		return r.unreached < maxUnreachable, err
 	case CopyGone:
-		r.vain++
-		return r.vain < maxUnreachable, err
+		r.unreached++
+		return r.unreached < maxUnreachable, err
 	default:
 		r.sent++
 		return r.sent < r.f.Rule.MaxAttempts(), err
--- a/dispatch/forward_test.go
+++ b/dispatch/forward_test.go
@@ -185,7 +185,7 @@
 			if len(b.calls) != test.calls {
 				t.Errorf("%d calls, want %d", len(b.calls), test.calls)
 			}
-			var cut *ErrBroken
+			var cut *BrokenError
 			if errors.As(err, &cut) != test.broken {
 				t.Errorf("broken: %v", err)
 			}
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -134,7 +134,7 @@
 // knows no usable target asks more often, but less and less so.
 func (in *Instance) pullPause(before time.Duration) time.Duration {
 	if in.fleet.Empty() {
-		return min(before+before/4, in.spaced(pullEvery))
+		return min(before+before/10, in.spaced(pullEvery))
 	}
 	return in.spaced(pullEvery)
 }
