--- a/quorum/schedule_test.go
+++ b/quorum/schedule_test.go
@@ -49,11 +49,16 @@
 	wipes    int
 	slow     int // steps that a sync takes on average
 	calm     int // one failure for calm client calls, besides the usual ones
+	least    int // voters down to which the leader removes silent ones; 0 means that it removes none
 	failure  error
 	trace    []string
 }
 
-func newWorld(seed uint64, n int) *world {
+func newWorld(seed uint64, n int) *world { return foundWorld(seed, n, n) }
+
+// foundWorld returns a world of n replicas, of which the first ones have founded the
+// quorum. The others have empty disks.
+func foundWorld(seed uint64, n, founders int) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), now: 1, cut: map[[2]ident.DiskID]clock.Time{},
 		leaders: map[Term]ident.DiskID{}, entries: map[Index]Entry{}, reads: map[uint64]Index{},
@@ -62,11 +67,15 @@
 	for i := range n {
 		r := &replica{id: ident.InstanceID(fmt.Sprint("i", i)), disk: ident.DiskID(fmt.Sprint("d", i))}
 		w.replicas = append(w.replicas, r)
-		members.Members = append(members.Members, Member{ID: r.id, Disk: r.disk, Voter: true})
+		if i < founders {
+			members.Members = append(members.Members, Member{ID: r.id, Disk: r.disk, Voter: true})
+		}
 	}
-	for _, r := range w.replicas {
-		r.stored = Stored{Hard: Hard{Term: 1}, Meta: Meta{Index: 1, Term: 1, Members: members}}
-		r.applied = 1
+	for i, r := range w.replicas {
+		if i < founders {
+			r.stored = Stored{Hard: Hard{Term: 1}, Meta: Meta{Index: 1, Term: 1, Members: members}}
+			r.applied = 1
+		}
 		w.start(r)
 	}
 	return w
@@ -255,6 +264,9 @@
 // learner, is promoted when it has caught up, and then the lost one is removed.
 func (w *world) repair(leader *replica) {
 	next := leader.core.members.clone()
+	if w.removeSilent(leader, next) {
+		return
+	}
 	for _, r := range w.replicas {
 		m, ok := next.Find(r.disk)
 		if !ok {
