--- a/quorum/members_test.go
+++ b/quorum/members_test.go
@@ -15,7 +15,7 @@
 // lost. Such a voter comes back with its disk and asks to be added again. It reports whether
 // it did.
 func (w *world) removeSilent(leader *replica, next Membership) bool {
-	if w.least == 0 || next.Voters() <= w.least || w.rng.IntN(2) == 0 {
+	if w.least == 0 || next.Voters() <= w.least {
 		return false
 	}
 	for i, m := range next.Members {
@@ -31,6 +31,18 @@
 	return false
 }
 
+// changeMembers lets leaders change the members often.
+func (w *world) changeMembers() {
+	if w.least == 0 || w.rng.IntN(10) > 0 {
+		return
+	}
+	for _, r := range w.replicas {
+		if r.core != nil && r.core.role == Leader && r.frozen <= w.now {
+			w.repair(r)
+		}
+	}
+}
+
 func (w *world) byDisk(d ident.DiskID) *replica {
 	for _, r := range w.replicas {
 		if r.disk == d {
--- a/quorum/schedule_test.go
+++ b/quorum/schedule_test.go
@@ -410,6 +410,7 @@
 		if w.rng.IntN(8) == 0 {
 			w.disturb()
 		}
+		w.changeMembers()
 		w.checkLeases()
 		if w.failure != nil {
 			return w.failure
