instance: an entry asks for targets again when it gets its lease

Now the lease's return starts a few questions with doubling pauses. The runtime's memory limit is three quarters of the machine's.

--- a/cmd/hickoryridge/main.go
+++ b/cmd/hickoryridge/main.go
@@ -107,7 +107,7 @@
 
 func serveInstance(s *settings.Settings, from source, logger *logrus.Logger) int {
 	if s.Limits.Memory > 0 {
-		debug.SetMemoryLimit(int64(s.Limits.Memory))
+		debug.SetMemoryLimit(int64(s.Limits.Memory) / 4 * 3) // what the runtime does not count stays below the rest
 	}
 	in, err := instance.New(s, logger)
 	if err != nil {
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -57,6 +57,12 @@
 		return
 	}
 	in.holds = holds
+	if holds {
+		select {
+		case in.leased <- struct{}{}:
+		default: // the table duty has not taken the last signal yet
+		}
+	}
 	fields := logrus.Fields{"event": "lease_held", "version": in.gate.Version()}
 	if !holds {
 		fields["event"], fields["cause"] = "lease_lost", cause
@@ -104,7 +110,7 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	wait := pullEager
+	wait := pullEvery
 	for {
 		for _, id := range in.network.Peers() {
 			mu.Lock()
@@ -124,6 +130,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-in.leased:
+			wait = pullEager
 		case <-time.After(wait):
 			wait = in.pullPause(wait)
 		}
@@ -131,10 +139,11 @@
 }
 
 // pullPause returns the wait between two questions, given the one before. An instance that
-// knows no usable target asks more often, but less and less so.
+// has just got its lease and knows no usable target asks soon again, with pauses that double:
+// after a restart of all, hundreds of instances ask at once.
 func (in *Instance) pullPause(before time.Duration) time.Duration {
 	if in.fleet.Empty() {
-		return min(before+before/10, in.spaced(pullEvery))
+		return min(2*before, in.spaced(pullEvery))
 	}
 	return in.spaced(pullEvery)
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -72,6 +72,7 @@
 	confirmed  state.Version                     // newest view that the leader knows to be in force here; owned by the lease duty
 	holds      bool                              // the configuration lease when it was last looked at; owned by the lease duty
 	holders    int                               // instances that share the retries; owned by the lease duty
+	leased     chan struct{}                     // signals that the configuration lease was gained
 	sharing    atomic.Int64                      // holders, for other duties
 	ready      chan struct{}
 }
@@ -85,7 +86,7 @@
 func New(s *settings.Settings, logger *logrus.Logger) (*Instance, error) {
 	boot := ident.BootID(ident.NewRandom())
 	in := &Instance{
-		settings: s, boot: boot, ready: make(chan struct{}), lingers: make(chan struct{}),
+		settings: s, boot: boot, ready: make(chan struct{}), lingers: make(chan struct{}), leased: make(chan struct{}, 1),
 		log:     logger.WithFields(logrus.Fields{"instance": s.Instance}),
 		gate:    dispatch.NewGate(),
 		engines: engine.NewClient(s.IdleLimit()),
