--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -15,7 +15,7 @@
 trap stop EXIT
 rm -rf run/i1 run/i2 run/i3
 for i in i1 i2 i3; do
-  ./bin/hickoryridge serve -settings "examples/association/$i.json" 2>"run/$i.log" &
+  ./bin/hickoryridge serve -settings "examples/association/$i.json" >"run/$i.log" 2>&1 &
   pids+=($!)
 done
 controls=127.0.0.1:8101,127.0.0.1:8102,127.0.0.1:8103
