--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -192,7 +192,7 @@
 		c.t.Fatal(err)
 	}
 	nd.cmd = exec.Command(daemon, "serve", "-settings", nd.path)
-	nd.cmd.Stderr = f
+	nd.cmd.Stdout, nd.cmd.Stderr = f, f
 	if err := nd.cmd.Start(); err != nil {
 		c.t.Fatal(err)
 	}
