state: a key that was released before it was opened is free

The release came to a log without the claim and left a receipt without a digest; every later attempt with the key was refused as the key of another request, for the retention of 24 h, though nothing had run. TestReleaseBeforeOpening fails before (key_reused) and passes now.

--- a/state/machine_test.go
+++ b/state/machine_test.go
@@ -146,3 +146,19 @@
 		}
 	}
 }
+
+// TestReleaseBeforeOpening appends the release of an attempt whose opening was lost with a
+// leader. The key is free for the next attempt; the late opening of the first one is not
+// run.
+func TestReleaseBeforeOpening(t *testing.T) {
+	now := Millis(1_000_000_000_000)
+	p := &player{t: t, m: NewMachine()}
+	p.do(now, finish("pay-1", "a1", OutcomeReleased))
+	if got := p.do(now, open("pay-1", "a1", 0)); !got.Refused {
+		t.Errorf("the released attempt opens: %+v", got)
+	}
+	got := p.do(now, open("pay-1", "a2", 0))
+	if got.Refused || got.Receipt.State != ReceiptOpen || got.Receipt.Attempt != "a2" {
+		t.Errorf("the next attempt: %+v", got)
+	}
+}
--- a/state/receipts.go
+++ b/state/receipts.go
@@ -36,7 +36,7 @@
 // repeated.
 type Receipt struct {
 	ID      ReceiptID        `msgpack:"id"`
-	Digest  ident.Digest     `msgpack:"digest"`
+	Digest  ident.Digest     `msgpack:"digest"` // empty if the key was released before it was opened
 	State   ReceiptState     `msgpack:"state"`
 	Attempt ident.AttemptID  `msgpack:"attempt"`
 	Owner   ident.InstanceID `msgpack:"owner"`
@@ -92,7 +92,7 @@
 	if r == nil {
 		return rs.insert(now, o), nil
 	}
-	if r.Digest != o.Digest {
+	if r.Digest != "" && r.Digest != o.Digest {
 		return *r, fault.New(fault.KeyReused, "key %q belongs to another request", o.ID.Key)
 	}
 	switch r.State {
