--- a/receipt/schedule_test.go
+++ b/receipt/schedule_test.go
@@ -113,8 +113,12 @@
 	return w.machine.Apply(w.index, data).(state.Result)
 }
 
-// propose puts a command on its way; it may arrive late, or twice.
+// propose puts a command on its way; it may arrive late, or twice. A claim may be lost with
+// a leader.
 func (w *world) propose(r *run, c state.Command) {
+	if c.Open != nil && w.rng.IntN(15) == 0 {
+		return
+	}
 	copies := 1 + w.rng.IntN(6)/5
 	for range copies {
 		w.flight = append(w.flight, proposal{at: w.now.Add(w.between(time.Millisecond, 80*time.Millisecond)), cmd: c, run: r})
@@ -195,6 +199,9 @@
 		r.err = fault.New(fault.NoQuorum, "no commit in time")
 	}
 	stored, release, err := r.attempt.Opened(r.result, r.err)
+	if fault.Is(err, fault.KeyReused) {
+		w.fail("%s refused as the key of another request", r.key)
+	}
 	switch {
 	case err != nil:
 		if release {
