router: how long engines keep a prompt is learnt; uses are told

Now the time follows from the engines' memory, which the configuration tells, and from what is processed; a use is told to the others if none was known of for 3 s. Also: the index is walked once a second and not on every share. TestUsesAreTold fails without its change (told: false); TestRetentionFollowsTheLoad and TestForget hold the learnt time.

--- a/desired/document.go
+++ b/desired/document.go
@@ -81,6 +81,7 @@
 	Operations  []Operation     `json:"operations,omitempty"`
 	Timeout     Duration        `json:"timeout,omitempty"`     // longest run of one request; 0 means DefaultTimeout
 	Connections int             `json:"connections,omitempty"` // that a target accepts from all instances together; 0 means no bound
+	Memory      ident.Tokens    `json:"memory,omitempty"`      // of one engine, for running requests and its prefix cache; 0 means unknown
 }
 
 // DefaultTimeout bounds a request of a service that names no timeout.
--- a/desired/validate.go
+++ b/desired/validate.go
@@ -92,6 +92,9 @@
 	if s.Timeout < 0 || time.Duration(s.Timeout) > maxTimeout {
 		v.faults.Add(path+".timeout", "want 0s to %v", maxTimeout)
 	}
+	if s.Memory < 0 {
+		v.faults.Add(path+".memory", "is negative")
+	}
 	switch s.Kind {
 	case KindModel:
 		v.modelService(path, s)
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -240,11 +240,20 @@
 		return
 	}
 	f.router.Holds(now, a.Choice.ID, a.req.Pieces)
-	if !a.Choice.Held && len(f.placed) < maxPlaced && len(a.req.Parts) > 0 {
+	if a.news(now) && len(f.placed) < maxPlaced && len(a.req.Parts) > 0 {
 		f.placed = append(f.placed, peer.Placement{Target: a.Choice.ID, Parts: a.req.Parts})
 	}
 }
 
+// useAge is the age from which the last known use of a prompt is told anew, so that all
+// instances know what an engine used lately and keeps. Whoever tells it first spares the others.
+const useAge = 3 * time.Second
+
+// news reports whether other instances should hear that the target has the prompt.
+func (a *Assignment) news(now clock.Time) bool {
+	return !a.Choice.Held || a.Choice.Used > 0 && now.Sub(a.Choice.Used) > useAge
+}
+
 // Report takes the load that the target told with an answer.
 func (a *Assignment) Report(load router.Report) {
 	a.fleet.mu.Lock()
@@ -327,6 +336,14 @@
 	for _, p := range placed {
 		f.router.Holds(now, p.Target, router.PartPieces(nil, p.Parts))
 	}
+}
+
+// Forget drops prompts that targets no longer count as having cached, where so many instances
+// send requests.
+func (f *Fleet) Forget(now clock.Time, instances int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.SetInstances(instances)
 	f.router.Forget(now)
 }
 
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -9,6 +9,7 @@
 	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/router"
 	"github.com/hickoryridge/hickoryridge/target"
 )
@@ -104,3 +105,37 @@
 		})
 	}
 }
+
+// TestUsesAreTold lets an instance use a prompt that an engine is known to have. The use is
+// told to the others if none was known of for some time: they would forget a prompt that
+// the engine keeps.
+func TestUsesAreTold(t *testing.T) {
+	parts := []router.Part{{ID: "history", Tokens: 4096}, {ID: "own", Tokens: 100}}
+	for name, test := range map[string]struct {
+		known time.Duration // since the last known use; 0 for none
+		told  bool
+	}{
+		"not known": {0, true},
+		"just used": {time.Second, false},
+		"long ago":  {4 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet()
+			now := clock.Now()
+			f.Announce(now, announced(1, 1))
+			if test.known > 0 {
+				f.HearPlaced(now.Add(-test.known), []peer.Placement{{Target: "engine-1", Parts: parts}})
+			}
+			a, err := f.Choose(now, router.Request{
+				Service: "advisor", Need: router.NeedPrefill, Prompt: 4196, Pieces: router.PartPieces(nil, parts), Parts: parts,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			a.First()
+			if told := len(f.TakePlaced()) == 1; told != test.told {
+				t.Errorf("told: %v, want %v", told, test.told)
+			}
+		})
+	}
+}
--- a/dispatch/usable.go
+++ b/dispatch/usable.go
@@ -38,6 +38,7 @@
 func (f *Fleet) refresh(now clock.Time) {
 	if version := f.gate.Version(); version != f.version {
 		f.version = version
+		f.learnMemory()
 		f.table.Each(func(r *target.Record) { f.decide(now, r) })
 	}
 	for len(f.deadlines) > 0 && !now.Before(f.deadlines[0].at) {
@@ -89,3 +90,14 @@
 		f.review(now, id)
 	}
 }
+
+// learnMemory tells the router how much the services' engines keep.
+func (f *Fleet) learnMemory() {
+	current := f.gate.Latest()
+	if current == nil || current.Document == nil {
+		return
+	}
+	for _, s := range current.Document.Services {
+		f.router.SetMemory(s.Name, s.Memory)
+	}
+}
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -91,9 +91,9 @@
 		in.roster.Replace(*grant.Roster)
 	}
 	in.receipts.Reconcile(grant.Claims)
-	in.dispatcher.SetInstances(max(grant.Holders, in.holders))
-	in.holders = max(grant.Holders, in.holders-1) // the number of a new leader grows again at first
-	in.sharing.Store(int64(in.holders))
+	sharing := int(in.sharing.Load())
+	in.dispatcher.SetInstances(max(grant.Holders, sharing))
+	in.sharing.Store(int64(max(grant.Holders, sharing-1))) // the number of a new leader grows again at first
 	if err := in.gate.Granted(asked, grant); err != nil {
 		return err
 	}
@@ -203,6 +203,7 @@
 func (in *Instance) updateGauges(ctx context.Context) error {
 	return duty.Every(ctx, gaugesEvery, func(context.Context) {
 		in.targets.Sweep(clock.Now())
+		in.fleet.Forget(clock.Now(), int(in.sharing.Load()))
 		running, waiting := in.dispatcher.Load()
 		in.metrics.Gauge("running", float64(running))
 		in.metrics.Gauge("waiting", float64(waiting))
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -71,9 +71,8 @@
 	reloaded   atomic.Pointer[settings.Settings] // the newest settings
 	confirmed  state.Version                     // newest view that the leader knows to be in force here; owned by the lease duty
 	holds      bool                              // the configuration lease when it was last looked at; owned by the lease duty
-	holders    int                               // instances that share the retries; owned by the lease duty
 	leased     chan struct{}                     // signals that the configuration lease was gained
-	sharing    atomic.Int64                      // holders, for other duties
+	sharing    atomic.Int64                      // instances that hold leases; written by the lease duty
 	ready      chan struct{}
 }
 
--- a/router/accounting.go
+++ b/router/accounting.go
@@ -73,7 +73,9 @@
 	if req.Need == NeedDecode {
 		return
 	}
-	d.waiting += max(0, float64(req.Prompt-c.Cached))
+	uncached := max(0, float64(req.Prompt-c.Cached))
+	d.waiting += uncached
+	r.turnover(r.slots[c.slot].service).add(now, uncached)
 }
 
 // First counts the first token of a request's answer: its prompt is processed.
--- a/router/prefix.go
+++ b/router/prefix.go
@@ -73,10 +73,21 @@
 	h.next = (h.next + 1) % maxHolders
 }
 
-// forget drops the members that were last used before a point in time.
-func (h *holderSet) forget(before clock.Time) {
+// lastUse returns when a member was last used; 0 if only events end it, or if it is none.
+func (h *holderSet) lastUse(i int32) clock.Time {
+	for j, s := range h.slice() {
+		if s == i {
+			return h.used[j]
+		}
+	}
+	return 0
+}
+
+// forget drops the members that were last used before a point in time, which is each one's
+// own.
+func (h *holderSet) forget(before func(slot int32) clock.Time) {
 	for j := int(h.n) - 1; j >= 0; j-- {
-		if h.used[j] > 0 && h.used[j].Before(before) {
+		if h.used[j] > 0 && h.used[j].Before(before(h.slots[j])) {
 			h.remove(h.slots[j])
 		}
 	}
@@ -177,14 +188,3 @@
 		r.prefixes.add(h, i, now)
 	}
 }
-
-// Forget drops what was last used too long ago to count as cached.
-func (r *Router) Forget(now clock.Time) {
-	if r.cfg.Keep == 0 {
-		return
-	}
-	before := now.Add(-r.cfg.Keep)
-	for _, set := range r.prefixes.holders {
-		set.forget(before)
-	}
-}
--- a/router/router.go
+++ b/router/router.go
@@ -24,6 +24,7 @@
 
 	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
 )
 
 // PieceTokens is the length of a piece of the prefix cache.
@@ -64,8 +65,8 @@
 	// Reread is the time that a thousand tokens are worth which an engine has to process
 	// although another one has them in its cache.
 	Reread time.Duration
-	// Keep is the time for which a piece counts as cached after it was last used; 0 means
-	// until an event says otherwise.
+	// Keep is the longest time for which a piece counts as cached after it was last used; 0
+	// means until an event says otherwise. See turnover.
 	Keep time.Duration
 	// Shared tells that the instances tell each other what waits at the targets, which do not
 	// report it; see Queued.
@@ -123,6 +124,7 @@
 	Wait   time.Duration  // part of First that other requests cause
 	Cross  bool           // the target stands in another region
 	Held   bool           // the target is known to have the whole shared part of the prompt
+	Used   clock.Time     // if Held, when that part was last known to be used there; 0 if an event told of it
 	Source ident.TargetID // another target that has more of the prompt cached; empty if none is known
 	slot   int32
 	gen    uint32
@@ -147,9 +149,11 @@
 	stale     bool              // the reserved engines and the candidates for homes have to be found anew
 	homes     map[int32][]int32 // usable engines of each service
 	prefixes  *prefixes
-	depth     []int32 // scratch: pieces of the prompt that a slot has
-	touched   []int32 // scratch: slots with a depth
-	visited   int     // nodes that searches have visited, for tests
+	turnovers map[int32]*turnover // by service
+	instances int                 // that send requests
+	depth     []int32             // scratch: pieces of the prompt that a slot has
+	touched   []int32             // scratch: slots with a depth
+	visited   int                 // nodes that searches have visited, for tests
 }
 
 // New returns a router without targets.
@@ -158,7 +162,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 2)),
 		byID: map[ident.TargetID]int32{}, services: names[ident.ServiceID]{},
 		versions: names[string]{}, regions: names[ident.RegionID]{}, prefixes: newPrefixes(),
-		reserved: map[int32]int32{}, homes: map[int32][]int32{},
+		reserved: map[int32]int32{}, homes: map[int32][]int32{}, turnovers: map[int32]*turnover{},
 	}
 	r.region = r.regions.of(cfg.Region)
 	return r
@@ -174,6 +178,7 @@
 	move                          float64 // seconds for moving the KV cache of a token
 	shared                        int32   // pieces of the prompt that others may have
 	reread                        float64 // seconds that a piece is worth which is processed again
+	beginning                     uint64  // the last of these pieces
 	held                          int32   // most pieces that a target has, if another one can get them from it
 	holder                        int32   // that target
 	home                          int32   // the target to process a beginning that nobody is known to have; -1 if none
@@ -192,6 +197,9 @@
 	} else {
 		w.move = r.cfg.Move.Seconds() / 1000
 	}
+	if n := len(req.Pieces); n > 0 {
+		w.beginning = req.Pieces[n-1]
+	}
 	w.price = max(0, w.prompt-float64(PieceTokens)) / 1000 * r.cfg.Links.CrossPrice.Seconds()
 	if req.Version != "" {
 		w.version = r.versions.of(req.Version)
@@ -341,6 +349,7 @@
 	return Choice{
 		ID: d.target.ID, First: seconds(wait + uncached/d.rate + 2*d.link), Wait: seconds(wait),
 		Cached: ident.Tokens(w.prefill - uncached), Cross: s.cross, slot: i, gen: d.gen, Source: r.source(i, w), Held: r.depth[i] >= w.shared,
+		Used: r.prefixes.holders[w.beginning].lastUse(i),
 	}
 }
 
