--- a/router/accounting.go
+++ b/router/accounting.go
@@ -75,7 +75,7 @@
 	}
 	uncached := max(0, float64(req.Prompt-c.Cached))
 	d.waiting += uncached
-	r.turnover(r.slots[c.slot].service).add(now, uncached)
+	r.turnover(d.target.Service).add(now, uncached)
 }
 
 // First counts the first token of a request's answer: its prompt is processed.
--- a/router/retention.go
+++ b/router/retention.go
@@ -75,13 +75,13 @@
 
 // SetMemory tells how many tokens one engine of a service keeps; 0 means unknown.
 func (r *Router) SetMemory(service ident.ServiceID, memory ident.Tokens) {
-	r.turnover(r.services.of(service)).memory = float64(memory)
+	r.turnover(service).memory = float64(memory)
 }
 
 // SetInstances tells how many instances send requests.
 func (r *Router) SetInstances(n int) { r.instances = n }
 
-func (r *Router) turnover(service int32) *turnover {
+func (r *Router) turnover(service ident.ServiceID) *turnover {
 	t := r.turnovers[service]
 	if t == nil {
 		t = &turnover{}
@@ -95,17 +95,17 @@
 	if r.cfg.Keep == 0 {
 		return
 	}
-	engines := map[int32]int{}
+	engines := map[ident.ServiceID]int{}
 	for i := range r.slots {
 		if s, d := &r.slots[i], &r.details[i]; d.known && s.usable && d.target.Role != "" {
-			engines[s.service]++
+			engines[d.target.Service]++
 		}
 	}
-	before := map[int32]clock.Time{}
+	before := map[ident.ServiceID]clock.Time{}
 	for service, n := range engines {
 		before[service] = now.Add(-r.turnover(service).retention(now, n, r.instances, r.cfg.Keep))
 	}
 	for _, set := range r.prefixes.holders {
-		set.forget(func(slot int32) clock.Time { return before[r.slots[slot].service] })
+		set.forget(func(slot int32) clock.Time { return before[r.details[slot].target.Service] })
 	}
 }
--- a/router/retention_test.go
+++ b/router/retention_test.go
@@ -51,7 +51,7 @@
 				r.Ended(at, c, req, false)
 			}
 			has := min(longest.Seconds(), memory/2/(test.each*prompt))
-			got := r.turnovers[r.services["s"]].retention(at, test.engines, test.instances, longest).Seconds()
+			got := r.turnovers["s"].retention(at, test.engines, test.instances, longest).Seconds()
 			if got < has/2 || got > has*2 {
 				t.Errorf("counted as cached for %.1f s, engines have a prompt for %.1f s", got, has)
 			}
@@ -90,3 +90,12 @@
 		})
 	}
 }
+
+// TestMemoryOfAServiceWithoutTargets tells of the memory of engines that are not there yet.
+func TestMemoryOfAServiceWithoutTargets(t *testing.T) {
+	r := New(Config{Region: "r", Links: DefaultLinks(), Seed: 1, Keep: time.Minute})
+	r.SetMemory("s", 1000)
+	if c, ok := r.Choose(Request{Service: "s", Need: NeedPrefill, Prompt: 100}); ok {
+		t.Errorf("chosen: %+v", c)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -149,11 +149,11 @@
 	stale     bool              // the reserved engines and the candidates for homes have to be found anew
 	homes     map[int32][]int32 // usable engines of each service
 	prefixes  *prefixes
-	turnovers map[int32]*turnover // by service
-	instances int                 // that send requests
-	depth     []int32             // scratch: pieces of the prompt that a slot has
-	touched   []int32             // scratch: slots with a depth
-	visited   int                 // nodes that searches have visited, for tests
+	turnovers map[ident.ServiceID]*turnover
+	instances int     // that send requests
+	depth     []int32 // scratch: pieces of the prompt that a slot has
+	touched   []int32 // scratch: slots with a depth
+	visited   int     // nodes that searches have visited, for tests
 }
 
 // New returns a router without targets.
@@ -162,7 +162,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 2)),
 		byID: map[ident.TargetID]int32{}, services: names[ident.ServiceID]{},
 		versions: names[string]{}, regions: names[ident.RegionID]{}, prefixes: newPrefixes(),
-		reserved: map[int32]int32{}, homes: map[int32][]int32{}, turnovers: map[int32]*turnover{},
+		reserved: map[int32]int32{}, homes: map[int32][]int32{}, turnovers: map[ident.ServiceID]*turnover{},
 	}
 	r.region = r.regions.of(cfg.Region)
 	return r
