callers: the configuration's limits on headers, bodies and connections

Cause: the limits of a configuration were read past. Connections were closed after fixed times (5 s before a head, 60 s idle), so that callers of a deployment with a longer idle time would be reset while within it; nothing bounded headers and bodies as operators said. Limits come with the document, hold at once, and replace the fixed ones. Unused fields of forwarded requests are gone.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -43,7 +43,7 @@
 	Gate       *dispatch.Gate
 	Dispatcher *dispatch.Dispatcher
 	Receipts   Receipts
-	MaxBody    ident.Bytes
+	Limits     desired.Limits // where the document has none
 	Log        *logrus.Entry
 }
 
@@ -103,10 +103,18 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if err := reply.CheckHeader(r, int64(s.limits(current).Header)); err != nil {
+		return nil, nil, err
+	}
 	t, err := tenant(current, r)
 	return current, t, err
 }
 
+// limits returns the bounds on a request.
+func (s *Server) limits(c *dispatch.Current) desired.Limits {
+	return c.Document.Limits.Or(s.cfg.Limits)
+}
+
 func (s *Server) models(w http.ResponseWriter, r *http.Request) {
 	current, t, err := s.enter(r)
 	if err != nil {
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := reply.ReadBody(w, r, int64(s.cfg.MaxBody))
+	body, err := reply.ReadBody(w, r, int64(s.limits(current).Body))
 	if err != nil {
 		return nil, err
 	}
--- a/caller/plain.go
+++ b/caller/plain.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := reply.ReadBody(w, r, int64(s.cfg.MaxBody))
+	body, err := reply.ReadBody(w, r, int64(s.limits(current).Body))
 	if err != nil {
 		return nil, err
 	}
--- a/desired/document.go
+++ b/desired/document.go
@@ -51,6 +51,7 @@
 	Tenants  []Tenant     `json:"tenants"`
 	Engines  []Engine     `json:"engines,omitempty"`
 	Roles    Roles        `json:"roles"`
+	Limits   Limits       `json:"limits,omitzero"`
 	// Origin is the text that the document was translated from, if an operator wrote it
 	// in another format. It is given back as it came.
 	Origin json.RawMessage `json:"origin,omitempty"`
--- a/desired/validate.go
+++ b/desired/validate.go
@@ -28,6 +28,7 @@
 	v.routes()
 	v.forwards()
 	v.engines()
+	v.limits()
 	if d.Roles.Goodput < 0 || d.Roles.Goodput > 1 {
 		v.faults.Add("$.roles.goodput", "want a number from 0 to 1, not %v", d.Roles.Goodput)
 	}
--- a/dispatch/backend.go
+++ b/dispatch/backend.go
@@ -26,7 +26,6 @@
 	Header  http.Header // end to end
 	Body    []byte
 	Parts   []router.Part // of the prompt; none for a plain service
-	Output  ident.Tokens  // bound of the answer; 0 means unknown
 	After   string        // id of the last event that the caller has
 }
 
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -47,6 +47,7 @@
 	Corrupt
 	FrameInvalid
 	Timeout
+	HeaderTooLarge
 	kinds // the count of kinds; keep last
 )
 
@@ -101,6 +102,7 @@
 	FenceRefused:        {http.StatusConflict, "fence_refused", RanNo, 0},
 	Corrupt:             {http.StatusInternalServerError, "corrupt", RanUnknown, 0},
 	FrameInvalid:        {http.StatusBadRequest, "frame_invalid", RanNo, 0},
+	HeaderTooLarge:      {http.StatusRequestHeaderFieldsTooLarge, "header_too_large", RanNo, 0},
 	Timeout:             {http.StatusGatewayTimeout, "timeout", RanUnknown, shortWait},
 }
 
--- a/instance/serve_test.go
+++ b/instance/serve_test.go
@@ -23,7 +23,7 @@
 	in := &Instance{lingers: make(chan struct{})}
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
-	go func() { ended <- in.serve(ctx, l, http.NotFoundHandler(), time.Minute) }()
+	go func() { ended <- in.serve(ctx, l, newServer(http.NotFoundHandler())) }()
 	time.Sleep(100 * time.Millisecond) // the connection is accepted
 	cancel()
 	if err := <-ended; err != nil {
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -17,6 +17,7 @@
 	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/caller/http1"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
 	"github.com/hickoryridge/hickoryridge/internal/duty"
@@ -42,19 +43,38 @@
 	if in.callerTLS != nil {
 		l = tls.NewListener(l, in.callerTLS)
 	}
-	return in.serve(ctx, l, in.callerHandler(), idleTime)
+	guard := http1.NewGuard(in.connectionLimits)
+	server := &http.Server{Handler: in.callerHandler(), MaxHeaderBytes: desired.MaxHeader}
+	guard.Attach(server)
+	return in.serve(ctx, guard.Listener(l), server)
+}
+
+// callerLimits returns this instance's bounds on callers, which hold where a document has none.
+func (in *Instance) callerLimits() desired.Limits {
+	return desired.Limits{
+		Header: maxHeader, Body: in.settings.BodyLimit(), Head: desired.Duration(headerTime), Idle: desired.Duration(idleTime),
+	}
+}
+
+// connectionLimits returns the bounds on callers' connections.
+func (in *Instance) connectionLimits() http1.Limits {
+	limits := in.callerLimits()
+	if current := in.gate.Latest(); current != nil && current.Document != nil {
+		limits = current.Document.Limits.Or(limits)
+	}
+	return http1.Limits{Head: limits.Head.Span(), Idle: limits.Idle.Span()}
 }
 
 // callerHandler serves callers by the protocol that the settings name.
 func (in *Instance) callerHandler() http.Handler {
 	if in.settings.Wire == settings.WirePlatform {
-		return &platform.Callers{Gate: in.gate, Dispatcher: in.dispatcher, MaxBody: in.settings.BodyLimit(), Log: in.log}
+		return &platform.Callers{Gate: in.gate, Dispatcher: in.dispatcher, Limits: in.callerLimits(), Log: in.log}
 	}
 	r := chi.NewRouter()
 	in.health().Mount(r)
 	caller.New(caller.Config{
 		Gate: in.gate, Dispatcher: in.dispatcher, Receipts: in.leader,
-		MaxBody: in.settings.BodyLimit(), Log: in.log,
+		Limits: in.callerLimits(), Log: in.log,
 	}).Mount(r)
 	return r
 }
@@ -69,13 +89,13 @@
 	if in.settings.Wire == settings.WirePlatform {
 		in.mountPlatform(r)
 	}
-	return in.serve(ctx, in.listeners.control, r, controlIdle)
+	return in.serve(ctx, in.listeners.control, newServer(r))
 }
 
 func (in *Instance) serveMetrics(ctx context.Context) error {
 	r := chi.NewRouter()
 	r.Method(http.MethodGet, "/metrics", in.metrics.Handler())
-	return in.serve(ctx, in.listeners.metrics, r, controlIdle)
+	return in.serve(ctx, in.listeners.metrics, newServer(r))
 }
 
 // mountPlatform adds the users' platform's calls of targets and operators.
@@ -175,11 +195,13 @@
 	return s
 }
 
+// newServer returns a server for operators, targets and the collector of metrics.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: controlIdle, MaxHeaderBytes: maxHeader}
+}
+
 // serve answers HTTP until ctx ends, then lets running handlers end.
-func (in *Instance) serve(ctx context.Context, l net.Listener, h http.Handler, idle time.Duration) error {
-	server := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idle, MaxHeaderBytes: maxHeader,
-	}
+func (in *Instance) serve(ctx context.Context, l net.Listener, server *http.Server) error {
 	g := duty.New(ctx)
 	g.Go("linger", func(ctx context.Context) error {
 		select {
--- /dev/null
+++ b/internal/caller/http1/guard_test.go
@@ -0,0 +1,122 @@
+package http1
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// dial returns a connection to a server with a guard, whose limits can be changed.
+func dial(t *testing.T, limits *atomic.Pointer[Limits]) net.Conn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			time.Sleep(4 * short)
+		}
+		_, _ = io.WriteString(w, "ok") // the test reads it or fails
+	})}
+	g := NewGuard(func() Limits { return *limits.Load() })
+	g.Attach(s)
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(g.Listener(l)) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = c.Close()
+		_ = s.Close()
+		<-ended
+	})
+	return c
+}
+
+const (
+	short = 50 * time.Millisecond
+	long  = time.Minute
+)
+
+// closed reports whether the other side closes the connection, and does not answer.
+func closed(c net.Conn) bool {
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	n, err := c.Read(make([]byte, 1))
+	return n == 0 && err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// ask sends a request and reads its whole answer.
+func ask(t *testing.T, c net.Conn, path string) {
+	t.Helper()
+	if _, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "ok" {
+		t.Fatalf("answer %q: %v", body, err)
+	}
+}
+
+func TestGuard(t *testing.T) {
+	for name, test := range map[string]struct {
+		limits Limits
+		do     func(t *testing.T, c net.Conn)
+		closed bool
+	}{
+		"no request": {Limits{Head: long, Idle: short}, func(*testing.T, net.Conn) {}, true},
+		"half a head": {Limits{Head: short, Idle: long}, func(t *testing.T, c net.Conn) {
+			if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHos"); err != nil {
+				t.Fatal(err)
+			}
+		}, true},
+		"idle after a request": {Limits{Head: long, Idle: short}, func(t *testing.T, c net.Conn) { ask(t, c, "/") }, true},
+		"a long answer": {Limits{Head: short, Idle: long}, func(t *testing.T, c net.Conn) {
+			ask(t, c, "/slow")
+			ask(t, c, "/")
+		}, false},
+		"many requests": {Limits{Head: long, Idle: long}, func(t *testing.T, c net.Conn) {
+			for range 20 {
+				ask(t, c, "/"+strings.Repeat("x", 2000))
+			}
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var limits atomic.Pointer[Limits]
+			limits.Store(&test.limits)
+			c := dial(t, &limits)
+			test.do(t, c)
+			if !test.closed {
+				ask(t, c, "/")
+				return
+			}
+			if !closed(c) {
+				t.Error("the connection stays open")
+			}
+		})
+	}
+}
+
+// TestGuardFollowsChanges makes the idle time shorter while a connection is open.
+func TestGuardFollowsChanges(t *testing.T) {
+	var limits atomic.Pointer[Limits]
+	limits.Store(&Limits{Head: long, Idle: long})
+	c := dial(t, &limits)
+	ask(t, c, "/")
+	limits.Store(&Limits{Head: long, Idle: short})
+	ask(t, c, "/")
+	if !closed(c) {
+		t.Error("the connection stays open")
+	}
+}
--- a/internal/reply/reply.go
+++ b/internal/reply/reply.go
@@ -82,6 +82,21 @@
 	return raw
 }
 
+// CheckHeader returns an error if a request's headers are longer than limit bytes.
+func CheckHeader(r *http.Request, limit int64) error {
+	const around = int64(len(": \r\n")) // of each line
+	n := int64(len(r.Host)) + int64(len("Host")) + around
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += int64(len(name)) + int64(len(v)) + around
+		}
+	}
+	if n > limit {
+		return fault.New(fault.HeaderTooLarge, "headers of %d bytes, limit %d", n, limit)
+	}
+	return nil
+}
+
 // bodyTime bounds the reading of a request's body.
 const bodyTime = 30 * time.Second
 
