--- a/target/renewal_test.go
+++ b/target/renewal_test.go
@@ -84,7 +84,7 @@
 }
 
 // pull lets a table ask another one over the wire and returns the size of the answer.
-func pull(t *testing.T, to, from *Table) int {
+func pull(t testing.TB, to, from *Table) int {
 	t.Helper()
 	since := to.Cursor("voter")
 	var buf bytes.Buffer
@@ -114,3 +114,29 @@
 		t.Errorf("the next question begins at %+v", got)
 	}
 }
+
+// BenchmarkRenewals measures a listing of the heartbeats of targets that tell no load, at both
+// ends.
+func BenchmarkRenewals(b *testing.B) {
+	const n = 600
+	table, other := NewTable(1), NewTable(2)
+	announce := func(sequence uint64) {
+		for i := range n {
+			a := announcement(1, sequence)
+			a.Target = ident.TargetID(fmt.Sprint("t", i))
+			a.Load = Load{Slots: 48}
+			table.Take(now, a, now.Add(2*time.Second), true)
+		}
+	}
+	announce(1)
+	pull(b, other, table)
+	size := 0
+	for sequence := uint64(2); b.Loop(); sequence++ {
+		b.StopTimer()
+		announce(sequence)
+		b.StartTimer()
+		size = pull(b, other, table)
+	}
+	b.ReportMetric(float64(size)/n, "B/target")
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/n, "ns/target")
+}
