cert: certificates are replaced while they are in use

Cause: certificates and the authority were read once at the start, so that a new one needed a restart of every instance, and one that ran out cut the instances off from each other. TestCertificatesAreReplaced changes the authority and every certificate while questions are answered, and then starts an instance anew; before, nothing was ever loaded.

--- a/e2e/tls_test.go
+++ b/e2e/tls_test.go
@@ -1,6 +1,8 @@
 package e2e
 
 import (
+	"bytes"
+	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -11,6 +13,7 @@
 	"math/big"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"testing"
 	"time"
@@ -118,3 +121,91 @@
 		_ = conn.Close()
 	}
 }
+
+// serial returns the number of the certificate that callers of an instance are shown.
+func (c *cluster) serial(i int) string {
+	conn, err := tls.Dial("tcp", c.nodes[i].settings.Callers, &tls.Config{InsecureSkipVerify: true})
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.ConnectionState().PeerCertificates[0].SerialNumber.String()
+}
+
+// TestCertificatesAreReplaced replaces the authority and every certificate while questions
+// are answered: first the new authority is trusted beside the old one, then it signs all
+// certificates, then the old one is trusted no more. No question fails, and the instances
+// keep each other, also one that is started anew.
+func TestCertificatesAreReplaced(t *testing.T) {
+	folder := t.TempDir()
+	before, after := newAuthority(t, folder, "before"), newAuthority(t, folder, "after")
+	trusted := filepath.Join(folder, "trusted.pem")
+	trust := func(as ...*authority) {
+		var all []byte
+		for _, a := range as {
+			all = append(all, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.cert.Raw})...)
+		}
+		writeFile(t, trusted, string(all))
+	}
+	trust(before)
+	c := newClusterWith(t, 3, 3, false, func(s *settings.Settings) {
+		s.TLS.Peers = before.pair(folder, string(s.Instance)+"-peer")
+		s.TLS.Peers.CA = trusted
+		s.TLS.Callers = before.pair(folder, string(s.Instance)+"-callers")
+		s.TLS.Callers.CA = ""
+	})
+	pool := x509.NewCertPool()
+	pool.AddCert(before.cert)
+	pool.AddCert(after.cert)
+	old := httpClient
+	t.Cleanup(func() { httpClient = old })
+	httpClient = &http.Client{Timeout: awaitTime, Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}
+	c.scheme = "https://"
+	c.addTargets(1, 1, standin.EngineConfig{Speed: 20})
+	c.up()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	asked := make(chan int, 1)
+	go func() {
+		n := 0
+		for ; ctx.Err() == nil; n++ {
+			if err := c.chat(n%3, "Over TLS?", 4); err != nil {
+				t.Errorf("question %d: %v", n, err)
+			}
+		}
+		asked <- n
+	}()
+	loaded := func(what string, times int) {
+		t.Helper()
+		c.await(what, func() bool {
+			for _, nd := range c.nodes {
+				data, err := os.ReadFile(nd.log)
+				if err != nil || bytes.Count(data, []byte("event=certificate_loaded")) < times {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	shown := c.serial(0)
+	trust(before, after)
+	loaded("the new authority to be trusted", 1)
+	for _, nd := range c.nodes {
+		after.pair(folder, string(nd.id)+"-peer")
+		after.pair(folder, string(nd.id)+"-callers")
+	}
+	loaded("the new certificates", 3)
+	trust(after)
+	loaded("the old authority to be forgotten", 4)
+	if now := c.serial(0); now == shown || now == "" {
+		t.Errorf("callers are shown certificate %q, before %q", now, shown)
+	}
+	cancel()
+	if n := <-asked; n < 10 {
+		t.Errorf("%d questions while certificates were replaced", n)
+	}
+	c.kill(1)
+	c.start(1)
+	c.awaitReady(1)
+	c.apply(1)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -22,6 +21,7 @@
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
 	"github.com/hickoryridge/hickoryridge/internal/duty"
+	"github.com/hickoryridge/hickoryridge/internal/net/cert"
 	"github.com/hickoryridge/hickoryridge/internal/net/tcp"
 	"github.com/hickoryridge/hickoryridge/internal/target/http1"
 	"github.com/hickoryridge/hickoryridge/leader"
@@ -51,8 +51,8 @@
 	settings   *settings.Settings
 	boot       ident.BootID
 	log        *logrus.Entry
-	peerTLS    *tls.Config
-	callerTLS  *tls.Config
+	peerCert   *cert.Keeper // nil for plain TCP
+	callerCert *cert.Keeper // nil for plain TCP
 	listeners  listeners
 	network    *peer.Network
 	roster     *roster
@@ -108,7 +108,7 @@
 	}
 	in.network = peer.NewNetwork(peer.Config{
 		Self: peer.Hello{Instance: s.Instance, Boot: boot}, Listen: in.listeners.peer,
-		Peers: peers, Open: len(s.Seeds) > 0, TLS: in.peerTLS, Handler: in.handle, Log: in.log,
+		Peers: peers, Open: len(s.Seeds) > 0, TLS: in.peerTLS(), Handler: in.handle, Log: in.log,
 	})
 	in.roster = &roster{self: s.Instance, network: in.network, voters: s.Voters()}
 	in.leader = &leaderClient{self: s.Instance, voters: in.roster.Voters, local: in.handle, call: in.network.Call}
@@ -217,6 +217,11 @@
 		g.Go("seek", in.seek)
 	}
 	g.Go("gauges", in.updateGauges)
+	for _, k := range []*cert.Keeper{in.peerCert, in.callerCert} {
+		if k != nil {
+			g.Go("certificate", k.Run)
+		}
+	}
 	if in.listeners.callers != nil {
 		g.Go("lease", in.renewLease)
 		g.Go("table", in.pullTables)
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -21,6 +19,7 @@
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
 	"github.com/hickoryridge/hickoryridge/internal/duty"
+	"github.com/hickoryridge/hickoryridge/internal/net/cert"
 	"github.com/hickoryridge/hickoryridge/operator"
 	"github.com/hickoryridge/hickoryridge/platform"
 	"github.com/hickoryridge/hickoryridge/settings"
@@ -40,13 +39,14 @@
 
 func (in *Instance) serveCallers(ctx context.Context) error {
 	l := in.listeners.callers
-	if in.callerTLS != nil {
-		l = tls.NewListener(l, in.callerTLS)
-	}
 	guard := http1.NewGuard(in.connectionLimits)
 	server := &http.Server{Handler: in.callerHandler(), MaxHeaderBytes: desired.MaxHeader}
 	guard.Attach(server)
-	return in.serve(ctx, guard.Listener(l), server)
+	l = guard.Listener(l)
+	if in.callerCert != nil {
+		l = tls.NewListener(l, in.callerCert.Callers())
+	}
+	return in.serve(ctx, l, server)
 }
 
 // callerLimits returns this instance's bounds on callers, which hold where a document has none.
@@ -233,55 +233,26 @@
 
 // loadTLS reads the files of the settings' certificates.
 func (in *Instance) loadTLS() error {
-	if pair := in.settings.TLS.Callers; pair.Set() {
-		cert, err := loadPair(pair)
+	for _, l := range []struct {
+		pair settings.KeyPair
+		into **cert.Keeper
+	}{{in.settings.TLS.Callers, &in.callerCert}, {in.settings.TLS.Peers, &in.peerCert}} {
+		if !l.pair.Set() {
+			continue
+		}
+		k, err := cert.New(cert.Files{Cert: l.pair.Cert, Key: l.pair.Key, CA: l.pair.CA}, in.log)
 		if err != nil {
 			return err
 		}
-		in.callerTLS = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
-	}
-	pair := in.settings.TLS.Peers
-	if !pair.Set() {
-		return nil
-	}
-	cert, err := loadPair(pair)
-	if err != nil {
-		return err
-	}
-	pem, err := os.ReadFile(pair.CA)
-	if err != nil {
-		return fault.Wrap(fault.NotFound, err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return fault.New(fault.BadRequest, "%s: no certificate", pair.CA)
-	}
-	in.peerTLS = &tls.Config{
-		Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13,
-		ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool, RootCAs: pool,
-		// Instances are reached by IP number; the certificate is checked against the
-		// authority that only instances have certificates of.
-		InsecureSkipVerify: true, VerifyConnection: verifyAgainst(pool),
+		*l.into = k
 	}
 	return nil
 }
 
-// verifyAgainst checks the other side's chain without its name.
-func verifyAgainst(pool *x509.CertPool) func(tls.ConnectionState) error {
-	return func(cs tls.ConnectionState) error {
-		if len(cs.PeerCertificates) == 0 {
-			return fault.New(fault.Unauthorized, "the other side sent no certificate")
-		}
-		opts := x509.VerifyOptions{Roots: pool, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}}
-		for _, c := range cs.PeerCertificates[1:] {
-			opts.Intermediates.AddCert(c)
-		}
-		_, err := cs.PeerCertificates[0].Verify(opts)
-		return err
+// peerTLS returns the configuration of connections between instances, nil for plain TCP.
+func (in *Instance) peerTLS() *tls.Config {
+	if in.peerCert == nil {
+		return nil
 	}
-}
-
-func loadPair(p settings.KeyPair) (tls.Certificate, error) {
-	cert, err := tls.LoadX509KeyPair(p.Cert, p.Key)
-	return cert, fault.Wrap(fault.BadRequest, err)
+	return in.peerCert.Instances()
 }
--- /dev/null
+++ b/internal/net/cert/cert.go
@@ -0,0 +1,165 @@
+// Package cert keeps certificates that are replaced while they are in use.
+//
+// A Keeper reads the files of a certificate, and reads them again every few seconds. What
+// has changed counts for connections that begin afterwards; open ones go on. Files that
+// cannot be used, such as a new certificate beside the old key, change nothing until they can.
+package cert
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/internal/duty"
+)
+
+// readEvery is the interval at which files are read again.
+const readEvery = 2 * time.Second
+
+// Files names the files of a certificate, its key, and the authorities that sign those of
+// others. CA is empty where others show none.
+type Files struct {
+	Cert, Key, CA string
+}
+
+// Keeper holds the newest usable certificate. Use New.
+type Keeper struct {
+	files   Files
+	log     *logrus.Entry
+	current atomic.Pointer[loaded]
+	refused contents // the files that could not be used last; owned by Run
+}
+
+// contents is what the files held.
+type contents struct {
+	cert, key, ca []byte
+}
+
+func (c contents) equal(other contents) bool {
+	return bytes.Equal(c.cert, other.cert) && bytes.Equal(c.key, other.key) && bytes.Equal(c.ca, other.ca)
+}
+
+// loaded is what the files stood for.
+type loaded struct {
+	contents
+	pair        *tls.Certificate
+	authorities *x509.CertPool
+}
+
+// New reads the files for the first time.
+func New(files Files, log *logrus.Entry) (*Keeper, error) {
+	k := &Keeper{files: files, log: log}
+	c, err := k.read()
+	if err != nil {
+		return nil, err
+	}
+	l, err := load(c)
+	if err != nil {
+		return nil, err
+	}
+	k.current.Store(l)
+	return k, nil
+}
+
+func (k *Keeper) read() (contents, error) {
+	var c contents
+	for _, f := range []struct {
+		path string
+		into *[]byte
+	}{{k.files.Cert, &c.cert}, {k.files.Key, &c.key}, {k.files.CA, &c.ca}} {
+		if f.path == "" {
+			continue
+		}
+		data, err := os.ReadFile(f.path)
+		if err != nil {
+			return contents{}, fault.Wrap(fault.NotFound, err)
+		}
+		*f.into = data
+	}
+	return c, nil
+}
+
+func load(c contents) (*loaded, error) {
+	pair, err := tls.X509KeyPair(c.cert, c.key)
+	if err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err)
+	}
+	l := &loaded{contents: c, pair: &pair, authorities: x509.NewCertPool()}
+	if len(c.ca) > 0 && !l.authorities.AppendCertsFromPEM(c.ca) {
+		return nil, fault.New(fault.BadRequest, "the authorities' file has no certificate")
+	}
+	return l, nil
+}
+
+// Run is the duty that reads the files again until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	return duty.Every(ctx, readEvery, func(context.Context) { k.renew() })
+}
+
+// renew takes changed files.
+func (k *Keeper) renew() {
+	c, err := k.read()
+	if err == nil && (c.equal(k.current.Load().contents) || c.equal(k.refused)) {
+		return
+	}
+	var l *loaded
+	if err == nil {
+		l, err = load(c)
+	}
+	fields := logrus.Fields{"event": "certificate_loaded", "file": k.files.Cert}
+	if err != nil {
+		k.refused = c
+		fields["event"], fields["cause"] = "certificate_refused", err
+		k.log.WithFields(fields).Warn("certificate cannot be used; the present one stays")
+		return
+	}
+	k.refused = contents{}
+	k.current.Store(l)
+	k.log.WithFields(fields).Info("certificate loaded")
+}
+
+// Callers returns the configuration of a server whose callers show no certificate.
+func (k *Keeper) Callers() *tls.Config {
+	return &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: k.server}
+}
+
+// Instances returns the configuration of both ends of connections between instances.
+func (k *Keeper) Instances() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, GetCertificate: k.server, GetClientCertificate: k.client,
+		// The authorities may change, so that VerifyConnection checks for both ends, also
+		// the certificate that a client has to show. Instances are reached by IP number: the
+		// name in a certificate does not count.
+		ClientAuth: tls.RequireAnyClientCert, InsecureSkipVerify: true, VerifyConnection: k.verify,
+	}
+}
+
+func (k *Keeper) server(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	return k.current.Load().pair, nil
+}
+
+func (k *Keeper) client(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+	return k.current.Load().pair, nil
+}
+
+// verify checks the other side's chain against the authorities.
+func (k *Keeper) verify(cs tls.ConnectionState) error {
+	if len(cs.PeerCertificates) == 0 {
+		return fault.New(fault.Unauthorized, "the other side sent no certificate")
+	}
+	opts := x509.VerifyOptions{
+		Roots: k.current.Load().authorities, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	}
+	for _, c := range cs.PeerCertificates[1:] {
+		opts.Intermediates.AddCert(c)
+	}
+	_, err := cs.PeerCertificates[0].Verify(opts)
+	return err
+}
