--- a/desired/document.go
+++ b/desired/document.go
@@ -173,15 +173,6 @@
 	return &d, nil
 }
 
-// ParseStored decodes a document that was accepted before.
-func ParseStored(data []byte) (*Document, error) {
-	var d Document
-	if err := json.Unmarshal(data, &d); err != nil {
-		return nil, fault.Wrap(fault.Corrupt, err)
-	}
-	return &d, nil
-}
-
 // Encode returns the canonical form and its digest.
 func (d *Document) Encode() ([]byte, ident.Digest, error) {
 	data, err := json.Marshal(d)
--- a/leader/coordinator.go
+++ b/leader/coordinator.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/engine"
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
@@ -48,6 +49,9 @@
 type Coordinator struct {
 	cfg Config
 
+	decoded *desired.Document // the newest document; owned by the duty that plans
+	digest  ident.Digest      // of decoded
+
 	mu      sync.Mutex
 	active  bool
 	began   clock.Time
--- a/leader/roles.go
+++ b/leader/roles.go
@@ -15,7 +15,7 @@
 // plan opens at most one order for each service: to meet the document first, then
 // where the role planner sees a gain.
 func (co *Coordinator) plan(ctx context.Context) {
-	doc, err := desired.ParseStored(co.cfg.Machine.View().Document)
+	doc, err := co.document()
 	if err != nil {
 		return // no document yet
 	}
@@ -34,6 +34,20 @@
 	}
 }
 
+// document returns the newest document. It is decoded once: large ones take a while.
+func (co *Coordinator) document() (*desired.Document, error) {
+	v := co.cfg.Machine.View()
+	if co.decoded != nil && co.digest == v.Digest {
+		return co.decoded, nil
+	}
+	doc, err := desired.ParseStored(v.Document)
+	if err != nil {
+		return nil, err
+	}
+	co.decoded, co.digest = doc, v.Digest
+	return doc, nil
+}
+
 func (co *Coordinator) planService(ctx context.Context, doc *desired.Document, s *desired.Service, busy map[ident.TargetID]bool) {
 	now := clock.Now()
 	var engines []target.Record
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -138,7 +138,7 @@
 
 // Apply commits a valid document and waits, within ForceTime, until it is in force.
 func (s *Server) Apply(ctx context.Context, doc *desired.Document) (*Applied, error) {
-	data, digest, err := doc.Encode()
+	data, digest, err := doc.Pack()
 	if err != nil {
 		return nil, err
 	}
@@ -195,7 +195,12 @@
 		return
 	}
 	w.Header().Set("ETag", `"`+string(view.Digest)+`"`)
-	reply.JSON(w, http.StatusOK, json.RawMessage(view.Document))
+	data, err := desired.Unpack(view.Document)
+	if err != nil {
+		reply.Error(w, err)
+		return
+	}
+	reply.JSON(w, http.StatusOK, json.RawMessage(data))
 }
 
 // Status is the answer to a question for the status.
--- a/state/command.go
+++ b/state/command.go
@@ -62,7 +62,7 @@
 type ApplyDocument struct {
 	Number ident.Number `msgpack:"number"`
 	Digest ident.Digest `msgpack:"digest"`
-	Data   []byte       `msgpack:"data"` // canonical form, validated by the proposer
+	Data   []byte       `msgpack:"data"` // as desired.Document.Pack makes it, validated by the proposer
 	// Jump lets numbers jump: the highest one counts, and what comes under the present
 	// number or a lower one changes nothing.
 	Jump bool `msgpack:"jump,omitempty"`
