--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -8,10 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
-	"github.com/hickoryridge/hickoryridge/internal/cluster/inflight"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/router"
 	"github.com/hickoryridge/hickoryridge/state"
@@ -154,10 +152,6 @@
 	return out
 }
 
-// suspicion is how long a target is passed over after it failed a request. A
-// crashed one announces itself no more by then, or again.
-const suspicion = 1500 * time.Millisecond
-
 // Sweep forgets targets that went silent long ago.
 func (f *Fleet) Sweep(now clock.Time) {
 	f.mu.Lock()
@@ -171,42 +165,6 @@
 	}
 }
 
-// Assignment is one request at its chosen target.
-type Assignment struct {
-	Choice  router.Choice
-	Address string
-	Source  string // address of a target to fetch KV cache from; empty if none is known
-	Region  ident.RegionID
-	Version string // of the target's model
-	Split   bool   // the target processes prompts only
-
-	fleet *Fleet
-	req   router.Request
-	first bool
-}
-
-// Choose picks a target and counts the request there.
-func (f *Fleet) Choose(now clock.Time, req router.Request) (*Assignment, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	c, ok := f.pick(now, req)
-	if !ok {
-		return nil, fault.New(fault.NoTarget, "no target of service %q is usable", req.Service)
-	}
-	r, _ := f.table.Get(c.ID)
-	f.router.Sent(now, c, req)
-	f.active[c.ID]++
-	a := &Assignment{Choice: c, Address: r.Address, Region: r.Region, fleet: f, req: req}
-	if source, ok := f.table.Get(c.Source); ok {
-		a.Source = source.Address
-	}
-	if r.Engine != nil {
-		a.Version = r.Engine.Version
-		a.Split = req.Need == router.NeedPrefill && r.Engine.Role == rolePrefill
-	}
-	return a, nil
-}
-
 // Expect returns what Choose would choose, without counting anything.
 func (f *Fleet) Expect(now clock.Time, req router.Request) (router.Choice, bool) {
 	f.mu.Lock()
@@ -225,68 +183,6 @@
 	return f.router.Choose(req)
 }
 
-// First tells that the first token arrived.
-func (a *Assignment) First() {
-	if a.first {
-		return
-	}
-	a.first = true
-	f := a.fleet
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := clock.Now()
-	f.router.First(now, a.Choice, a.req)
-	if len(a.req.Pieces) == 0 {
-		return
-	}
-	f.router.Holds(now, a.Choice.ID, a.req.Pieces)
-	if a.news(now) && len(f.placed) < maxPlaced && len(a.req.Parts) > 0 {
-		f.placed = append(f.placed, peer.Placement{Target: a.Choice.ID, Parts: a.req.Parts})
-	}
-}
-
-// useAge is the age from which the last known use of a prompt is told anew, so that all
-// instances know what an engine used lately and keeps. Whoever tells it first spares the others.
-const useAge = 3 * time.Second
-
-// news reports whether other instances should hear that the target has the prompt.
-func (a *Assignment) news(now clock.Time) bool {
-	return !a.Choice.Held || a.Choice.Used > 0 && now.Sub(a.Choice.Used) > useAge
-}
-
-// Report takes the load that the target told with an answer.
-func (a *Assignment) Report(load router.Report) {
-	a.fleet.mu.Lock()
-	defer a.fleet.mu.Unlock()
-	a.fleet.router.Report(clock.Now(), a.Choice.ID, load)
-}
-
-// Failed tells that the target failed the request.
-func (a *Assignment) Failed() {
-	f := a.fleet
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := clock.Now()
-	f.suspect(now, now.Add(suspicion), a.Choice.ID)
-	for id, until := range f.suspects {
-		if !now.Before(until) {
-			delete(f.suspects, id)
-		}
-	}
-}
-
-// Ended tells that the request has left the target.
-func (a *Assignment) Ended() {
-	f := a.fleet
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.router.Ended(clock.Now(), a.Choice, a.req, a.first)
-	f.active[a.Choice.ID]--
-	if f.active[a.Choice.ID] <= 0 {
-		delete(f.active, a.Choice.ID)
-	}
-}
-
 // Busy returns the targets that are out of service and still have requests of
 // this instance.
 func (f *Fleet) Busy() []ident.TargetID {
@@ -306,56 +202,6 @@
 	return busy
 }
 
-// Own returns what this instance has at the targets.
-func (f *Fleet) Own() inflight.Loads {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	loads := inflight.Loads{}
-	for _, o := range f.router.Own() {
-		loads[o.Target] = inflight.Load{Waiting: o.Waiting}
-	}
-	return loads
-}
-
-// maxPlaced bounds the placements that wait to be told.
-const maxPlaced = 256
-
-// TakePlaced returns the placements by this instance since the previous call.
-func (f *Fleet) TakePlaced() []peer.Placement {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	placed := f.placed
-	f.placed = nil
-	return placed
-}
-
-// HearPlaced takes placements by other instances.
-func (f *Fleet) HearPlaced(now clock.Time, placed []peer.Placement) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, p := range placed {
-		f.router.Holds(now, p.Target, router.PartPieces(nil, p.Parts))
-	}
-}
-
-// Forget drops prompts that targets no longer count as having cached, where so many instances
-// send requests.
-func (f *Fleet) Forget(now clock.Time, instances int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.router.SetInstances(instances)
-	f.router.Forget(now)
-}
-
-// HearLoads takes what all instances have at the targets, as of the given age.
-func (f *Fleet) HearLoads(now clock.Time, age time.Duration, loads inflight.Loads) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.table.Each(func(r *target.Record) {
-		f.router.Queued(now, r.Target, loads[r.Target].Waiting, age)
-	})
-}
-
 // Empty reports whether no target is usable.
 func (f *Fleet) Empty() bool {
 	now := clock.Now()
--- /dev/null
+++ b/dispatch/told.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/inflight"
+	"github.com/hickoryridge/hickoryridge/peer"
+	"github.com/hickoryridge/hickoryridge/router"
+	"github.com/hickoryridge/hickoryridge/target"
+)
+
+// Own returns what this instance has at the targets.
+func (f *Fleet) Own() inflight.Loads {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	loads := inflight.Loads{}
+	for _, o := range f.router.Own() {
+		loads[o.Target] = inflight.Load{Waiting: o.Waiting}
+	}
+	return loads
+}
+
+// maxPlaced bounds the placements that wait to be told.
+const maxPlaced = 256
+
+// TakePlaced returns the placements by this instance since the previous call.
+func (f *Fleet) TakePlaced() []peer.Placement {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	placed := f.placed
+	f.placed = nil
+	return placed
+}
+
+// HearPlaced takes placements by other instances.
+func (f *Fleet) HearPlaced(now clock.Time, placed []peer.Placement) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range placed {
+		f.router.Holds(now, p.Target, router.PartPieces(nil, p.Parts))
+	}
+}
+
+// Forget drops prompts that targets no longer count as having cached, where so many instances
+// send requests.
+func (f *Fleet) Forget(now clock.Time, instances int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.SetInstances(instances)
+	f.router.Forget(now)
+}
+
+// HearLoads takes what all instances have at the targets, as of the given age.
+func (f *Fleet) HearLoads(now clock.Time, age time.Duration, loads inflight.Loads) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table.Each(func(r *target.Record) {
+		f.router.Queued(now, r.Target, loads[r.Target].Waiting, age)
+	})
+}
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -209,6 +209,7 @@
 		in.metrics.Gauge("waiting", float64(waiting))
 		in.metrics.Gauge("view", float64(in.gate.Version()))
 		in.metrics.Gauge("receipts_pending", float64(in.receipts.Pending()))
+		in.metrics.Gauge("target_connections_opened", float64(in.targets.Opened()))
 		for message, bytes := range in.network.Sent() {
 			in.metrics.Gauge("peer_sent_bytes_"+message, float64(bytes))
 		}
