--- a/desired/limits.go
+++ b/desired/limits.go
@@ -17,7 +17,7 @@
 
 // Bounds of limits, whatever a document says.
 const (
-	MaxHeader = 1 << 20 // bytes
+	MaxHeader = 1 << 18 // bytes
 	MaxBody   = 1 << 28 // bytes
 	MaxHead   = 1 * time.Minute
 	MaxIdle   = 1 * time.Hour
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -24,6 +24,7 @@
 	pullEager   = 100 * time.Millisecond
 	pullTime    = 1 * time.Second
 	gaugesEvery = 1 * time.Second
+	forgetEvery = 1 * time.Second
 	shareEvery  = 200 * time.Millisecond
 	shareTime   = 400 * time.Millisecond
 )
@@ -199,11 +200,17 @@
 	return sum.Next
 }
 
+// forgetPrompts is the duty that drops what engines no longer have cached.
+func (in *Instance) forgetPrompts(ctx context.Context) error {
+	return duty.Every(ctx, forgetEvery, func(context.Context) {
+		in.fleet.Forget(clock.Now(), int(in.sharing.Load()))
+	})
+}
+
 // updateGauges is the duty that reports the instance's state as metrics.
 func (in *Instance) updateGauges(ctx context.Context) error {
 	return duty.Every(ctx, gaugesEvery, func(context.Context) {
 		in.targets.Sweep(clock.Now())
-		in.fleet.Forget(clock.Now(), int(in.sharing.Load()))
 		running, waiting := in.dispatcher.Load()
 		in.metrics.Gauge("running", float64(running))
 		in.metrics.Gauge("waiting", float64(waiting))
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -225,6 +225,7 @@
 	if in.listeners.callers != nil {
 		g.Go("lease", in.renewLease)
 		g.Go("table", in.pullTables)
+		g.Go("forget", in.forgetPrompts)
 		if in.settings.Routing.Share {
 			g.Go("share", in.shareLoads)
 		}
