quorum: a status is not changed by those who read it

Membership has With and Without, which copy; TestChangedMembershipIsAnother holds that, and the code that changed in place is gone.

--- a/instance/joining.go
+++ b/instance/joining.go
@@ -124,10 +124,8 @@
 	ctx, cancel := context.WithTimeout(ctx, joinTime)
 	defer cancel()
 	members := node.Status().Members
-	i := slices.IndexFunc(members.Members, func(m quorum.Member) bool { return m.Disk == d })
-	if i < 0 {
+	if _, ok := members.Find(d); !ok {
 		return fault.New(fault.NotFound, "disk %s is no member", d)
 	}
-	members.Members = slices.Delete(members.Members, i, i+1)
-	return node.Change(ctx, members)
+	return node.Change(ctx, members.Without(d))
 }
--- a/instance/members.go
+++ b/instance/members.go
@@ -48,8 +48,7 @@
 	v.disks.Store(formed.Disk, id)
 	members := node.Status().Members
 	if _, known := members.Find(formed.Disk); !known {
-		members.Members = append(members.Members, quorum.Member{ID: id, Disk: formed.Disk, Address: addr})
-		if err := node.Change(ctx, members); err != nil {
+		if err := node.Change(ctx, members.With(quorum.Member{ID: id, Disk: formed.Disk, Address: addr})); err != nil {
 			return err
 		}
 	}
@@ -60,10 +59,9 @@
 		return err
 	}
 	members = node.Status().Members
-	i := slices.IndexFunc(members.Members, func(m quorum.Member) bool { return m.Disk == formed.Disk })
-	if i >= 0 && !members.Members[i].Voter {
-		members.Members[i].Voter = true
-		if err := node.Change(ctx, members); err != nil {
+	if member, ok := members.Find(formed.Disk); ok && !member.Voter {
+		member.Voter = true
+		if err := node.Change(ctx, members.With(member)); err != nil {
 			return err
 		}
 	}
@@ -93,8 +91,7 @@
 		if i < 0 {
 			return nil
 		}
-		members.Members = slices.Delete(members.Members, i, i+1)
-		if err := node.Change(ctx, members); err != nil {
+		if err := node.Change(ctx, members.Without(members.Members[i].Disk)); err != nil {
 			return err
 		}
 	}
--- a/quorum/members_test.go
+++ b/quorum/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/hickoryridge/hickoryridge/ident"
@@ -71,3 +72,31 @@
 		return nil
 	})
 }
+
+// TestChangedMembershipIsAnother changes memberships that others read: a status is given to
+// all who ask, and what one of them made of it may not change it for the rest.
+func TestChangedMembershipIsAnother(t *testing.T) {
+	a, b, c := Member{ID: "a", Disk: "1", Voter: true}, Member{ID: "b", Disk: "2"}, Member{ID: "c", Disk: "3"}
+	voter := b
+	voter.Voter = true
+	for name, test := range map[string]struct {
+		change func(Membership) Membership
+		want   []Member
+	}{
+		"added":          {func(m Membership) Membership { return m.With(c) }, []Member{a, b, c}},
+		"made a voter":   {func(m Membership) Membership { return m.With(voter) }, []Member{a, voter}},
+		"removed":        {func(m Membership) Membership { return m.Without("1") }, []Member{b}},
+		"is not there":   {func(m Membership) Membership { return m.Without("9") }, []Member{a, b}},
+		"removed, added": {func(m Membership) Membership { return m.Without("1").With(c) }, []Member{b, c}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			shared := Membership{Members: append(make([]Member, 0, 8), a, b)} // with room behind it
+			if got := test.change(shared).Members; !slices.Equal(got, test.want) {
+				t.Errorf("%v, want %v", got, test.want)
+			}
+			if !slices.Equal(shared.Members, []Member{a, b}) || shared.Members[:3][2] != (Member{}) {
+				t.Errorf("the membership that was changed is now %v", shared.Members[:3])
+			}
+		})
+	}
+}
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -55,6 +55,31 @@
 	return n
 }
 
+// With returns a membership with a member in the place of the one with its disk, or in
+// addition. m, which others may be reading, stays as it is.
+func (m Membership) With(member Member) Membership {
+	next := m.clone()
+	for i := range next.Members {
+		if next.Members[i].Disk == member.Disk {
+			next.Members[i] = member
+			return next
+		}
+	}
+	next.Members = append(next.Members, member)
+	return next
+}
+
+// Without returns a membership without a disk. m stays as it is.
+func (m Membership) Without(d ident.DiskID) Membership {
+	var next Membership
+	for _, member := range m.Members {
+		if member.Disk != d {
+			next.Members = append(next.Members, member)
+		}
+	}
+	return next
+}
+
 func (m Membership) clone() Membership {
 	return Membership{Members: append([]Member(nil), m.Members...)}
 }
