instance: loads are shared every 40 ms

Cause: a long prompt takes an engine a tenth of a second, and instances heard of each other's every 0.22 s. Test: TestLoadsAreFresh replays nine instances and three engines at nine tenths: mean wait 364 ms of a least possible 217 ms at 200 ms, 271 ms at 40 ms. The interval still grows by 2 ms for each instance.

--- a/instance/duties.go
+++ b/instance/duties.go
@@ -25,7 +25,7 @@
 	pullTime    = 1 * time.Second
 	gaugesEvery = 1 * time.Second
 	forgetEvery = 1 * time.Second
-	shareEvery  = 200 * time.Millisecond
+	shareEvery  = 40 * time.Millisecond
 	shareTime   = 400 * time.Millisecond
 )
 
--- /dev/null
+++ b/instance/sharing_test.go
@@ -0,0 +1,156 @@
+package instance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/desired"
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/inflight"
+	"github.com/hickoryridge/hickoryridge/router"
+)
+
+// longPrompts replays long prompts that come through nine instances to three engines and fill
+// them to nine tenths. Engines take prompts in the order of arrival and tell nothing of their
+// queues; the instances share what they have there at intervals.
+type longPrompts struct {
+	rng     *rand.Rand
+	now     clock.Time
+	routers []*router.Router
+	sums    *inflight.Sums
+	free    map[ident.TargetID]clock.Time // when an engine has done what it has
+	open    []openPrompt
+	waited  time.Duration // of all prompts, in the engines' queues
+}
+
+type openPrompt struct {
+	at   *router.Router
+	c    router.Choice
+	req  router.Request
+	ends clock.Time
+}
+
+const (
+	replayEngines = 3
+	replayRate    = 70000 // prompt tokens a second
+	replayLoad    = 0.9
+	replayPrompt  = 8000 // tokens, on average
+	replayLink    = 12 * time.Millisecond
+	replayStep    = time.Millisecond
+)
+
+func newLongPrompts(seed uint64) *longPrompts {
+	p := &longPrompts{
+		rng: rand.New(rand.NewPCG(seed, 5)), now: clock.Time(time.Hour), sums: inflight.New(), free: map[ident.TargetID]clock.Time{},
+	}
+	for i := range 9 {
+		r := router.New(router.Config{Region: "r", Links: router.DefaultLinks(), Seed: seed + uint64(i), Noise: routeNoise, Shared: true, Spread: true})
+		for e := range replayEngines {
+			id := ident.TargetID(fmt.Sprint("e", e))
+			r.Put(router.Target{ID: id, Service: "s", Region: "r", Role: desired.RolePrefill})
+			r.Report(p.now, id, router.Report{Slots: 48, Prefill: replayRate})
+		}
+		p.routers = append(p.routers, r)
+	}
+	return p
+}
+
+// run plays a minute with the given interval between two exchanges of an instance. It
+// returns the mean wait of a prompt, and the least possible one of the same prompts: where each
+// goes to the engine that is free first.
+func (p *longPrompts) run(every time.Duration) (mean, least time.Duration) {
+	best := make([]clock.Time, replayEngines)
+	var leastSum time.Duration
+	n := 0
+	for step := range int(time.Minute / replayStep) {
+		p.now = p.now.Add(replayStep)
+		p.finish()
+		p.share(step, int(every/replayStep))
+		if p.rng.Float64() >= replayLoad*replayEngines*replayRate/replayPrompt*replayStep.Seconds() {
+			continue
+		}
+		n++
+		tokens := ident.Tokens(replayPrompt * (0.2 + p.rng.ExpFloat64()*0.8))
+		p.place(tokens)
+		leastSum += takeSoonest(best, p.now, tokens)
+	}
+	return p.waited / time.Duration(n), leastSum / time.Duration(n)
+}
+
+func processing(tokens ident.Tokens) time.Duration {
+	return time.Duration(float64(tokens) / replayRate * float64(time.Second))
+}
+
+func takeSoonest(free []clock.Time, now clock.Time, tokens ident.Tokens) time.Duration {
+	soonest := 0
+	for i := range free {
+		if free[i].Before(free[soonest]) {
+			soonest = i
+		}
+	}
+	start := max(now, free[soonest])
+	free[soonest] = start.Add(processing(tokens))
+	return start.Sub(now)
+}
+
+func (p *longPrompts) place(tokens ident.Tokens) {
+	r := p.routers[p.rng.IntN(len(p.routers))]
+	req := router.Request{Service: "s", Need: router.NeedPrefill, Prompt: tokens}
+	c, _ := r.Choose(req)
+	r.Sent(p.now, c, req)
+	start := max(p.now, p.free[c.ID])
+	p.waited += start.Sub(p.now)
+	ends := start.Add(processing(tokens))
+	p.free[c.ID] = ends
+	p.open = append(p.open, openPrompt{r, c, req, ends})
+}
+
+// finish tells the instances of the prompts that are processed.
+func (p *longPrompts) finish() {
+	kept := p.open[:0]
+	for _, o := range p.open {
+		if p.now.Before(o.ends) {
+			kept = append(kept, o)
+			continue
+		}
+		o.at.Ended(p.now, o.c, o.req, false)
+	}
+	p.open = kept
+}
+
+// share lets the instances whose turn it is exchange what they have. What they hear is as old as
+// the way to the collector and back.
+func (p *longPrompts) share(step, every int) {
+	for i, r := range p.routers {
+		if (step+i*every/len(p.routers))%every != 0 {
+			continue
+		}
+		loads := inflight.Loads{}
+		for _, o := range r.Own() {
+			loads[o.Target] = inflight.Load{Waiting: o.Waiting}
+		}
+		p.sums.Put(p.now, ident.InstanceID(fmt.Sprint("i", i)), loads)
+		total := p.sums.Total(p.now, 1)
+		for e := range replayEngines {
+			id := ident.TargetID(fmt.Sprint("e", e))
+			r.Queued(p.now, id, total[id].Waiting, replayLink+time.Duration(every)*replayStep/2)
+		}
+	}
+}
+
+// TestLoadsAreFresh replays long prompts of several instances. Each takes an engine a tenth of a second, so
+// loads that are some tenths of a second old send several to the same engine while another one is idle.
+func TestLoadsAreFresh(t *testing.T) {
+	var mean, least time.Duration
+	for seed := range uint64(5) {
+		m, l := newLongPrompts(seed).run(shareEvery + 9*eachHolder)
+		mean, least = mean+m/5, least+l/5
+	}
+	t.Logf("mean wait %v, least possible %v", mean, least)
+	if mean > 3*least/2 {
+		t.Errorf("prompts wait %v on average, more than 1.5 times the least possible %v", mean, least)
+	}
+}
