router: KV cache stays in its region

Cause: KV cache that moves between regions fills the links, which carry one transfer at a time. The price of a transfer was its own time. Ruled out: queues at decode engines (expected 250 ms at most there); places in the batch (short questions of the same moment took 150 ms).

--- a/router/cost.go
+++ b/router/cost.go
@@ -102,8 +102,7 @@
 	return cost
 }
 
-// moved returns the seconds for moving the KV cache that a target lacks. Between regions
-// the links are slower.
+// moved returns the seconds for moving the KV cache that a target lacks.
 func (s *slot) moved(depth int32, w *wanted) float64 {
 	if w.move == 0 {
 		return 0
@@ -115,5 +114,7 @@
 	return lacks * w.move
 }
 
-// crossMoves is how many times longer KV cache takes between regions.
-const crossMoves = 10
+// crossMoves is what KV cache that moves between regions costs, in times of the same within a
+// region. Its own time is some ten times as long. As a link carries one transfer at a time, all that follow
+// wait for it as well, and a prompt moved between regions holds up dozens that stay in theirs.
+const crossMoves = 300
--- a/router/fetch.go
+++ b/router/fetch.go
@@ -5,8 +5,9 @@
 // Load pattern: prompts whose long beginnings are cached come faster than the engines that
 // have them can take, while other engines have room. Processing a beginning of 13,000 tokens a second
 // time takes an engine a tenth of a second and more; getting its KV cache from an engine
-// that has it takes a few milliseconds, and some tens between regions. So where engines can
-// fetch, a request goes where it is soonest served and names the engine to fetch from.
+// that has it takes a few milliseconds. So where engines can
+// fetch, a request goes where it is soonest served and names the engine to fetch from. Between regions
+// the links are too slow for more than a few of these at a time; see crossMoves.
 
 // findHolder finds the target that has most of the prompt, the nearest one if several have.
 func (r *Router) findHolder(w *wanted) {
@@ -25,7 +26,7 @@
 	}
 }
 
-// fetching returns the seconds for a token of KV cache from the holder to a region.
+// fetching returns the cost of a token of KV cache from the holder to a region, in seconds.
 func (r *Router) fetching(region, holder int32) float64 {
 	perToken := r.cfg.Move.Seconds() / 1000
 	if r.slots[holder].region != region {
