router: a long prompt at a decode engine costs what it holds up

A long prompt went where it was done first, whatever it kept back. Ruled out: links (imports at engines without a queue take what is expected, 26 ms more at the median). Conclusion: prefill engines take what they can; decode engines read long prompts when that pays for all.

--- a/router/cost.go
+++ b/router/cost.go
@@ -93,8 +93,8 @@
 	if fetched > 0 {
 		cost += float64(fetched) * float64(PieceTokens) * r.fetching(s.region, w.holder)
 	}
-	if w.need == NeedPrefill && s.roles&(1<<NeedDecode) == 0 {
-		cost += r.cfg.Handover.Seconds()
+	if w.need == NeedPrefill {
+		cost += r.stageCost(s, own)
 	}
 	if r.cfg.Noise > 0 {
 		cost += r.rng.Float64() * r.cfg.Noise * (own + runningCost)
@@ -102,6 +102,23 @@
 	return cost
 }
 
+// Load pattern: long prompts come faster than prefill engines take them, and decode engines, which
+// process prompts slowly between the tokens of their answers, look idle. A long prompt there keeps every
+// short one, and every answer whose prompt was processed elsewhere, from its first token for some tenths
+// of a second. At a prefill engine it keeps back other prompts for much less.
+
+// holdUp is what a second of a long prompt at an engine that generates answers costs the other
+// requests there, in seconds.
+const holdUp = 1.5
+
+// stageCost returns what processing a prompt for own seconds costs besides, by the stages that the target serves.
+func (r *Router) stageCost(s *slot, own float64) float64 {
+	if s.roles&(1<<NeedDecode) == 0 {
+		return r.cfg.Handover.Seconds()
+	}
+	return holdUp * max(0, own-float64(PieceTokens)*s.pace)
+}
+
 // moved returns the seconds for moving the KV cache that a target lacks.
 func (s *slot) moved(depth int32, w *wanted) float64 {
 	if w.move == 0 {
