--- a/desired/limits.go
+++ b/desired/limits.go
@@ -1,6 +1,7 @@
 package desired
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/ident"
@@ -41,17 +42,8 @@
 
 // Or returns l with the bounds of an instance where it has none.
 func (l Limits) Or(own Limits) Limits {
-	if l.Header == 0 {
-		l.Header = own.Header
+	return Limits{
+		Header: cmp.Or(l.Header, own.Header), Body: cmp.Or(l.Body, own.Body),
+		Head: cmp.Or(l.Head, own.Head), Idle: cmp.Or(l.Idle, own.Idle),
 	}
-	if l.Body == 0 {
-		l.Body = own.Body
-	}
-	if l.Head == 0 {
-		l.Head = own.Head
-	}
-	if l.Idle == 0 {
-		l.Idle = own.Idle
-	}
-	return l
 }
--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -47,11 +47,8 @@
 }
 
 func (r *forwardRun) deliver(answer Answered, body []byte) error {
-	r.free(max(0, clock.Now().Sub(r.started)-r.entered.Cost))
-	r.d.cfg.Metrics.First("", ident.ClassID(r.f.Rule.Name), clock.Now().Sub(r.f.Arrived))
-	r.begun = true
-	r.first = clock.Now()
-	if err := r.sink.Begin(answer.Status, answer.Header); err != nil {
+	r.answered(clock.Now())
+	if err := r.begin(answer); err != nil {
 		r.gone = err
 		return err
 	}
@@ -62,6 +59,19 @@
 	return nil
 }
 
+// answered notes the time of the first byte of an answer.
+func (r *forwardRun) answered(now clock.Time) {
+	r.free(max(0, now.Sub(r.started)-r.entered.Cost))
+	r.first = now
+	r.d.cfg.Metrics.First("", ident.ClassID(r.f.Rule.Name), now.Sub(r.f.Arrived))
+}
+
+// begin passes the beginning of an answer on.
+func (r *forwardRun) begin(answer Answered) error {
+	r.begun = true
+	return r.sink.Begin(answer.Status, answer.Header)
+}
+
 // broken takes an answer that broke off.
 func (r *forwardRun) broken(ctx context.Context, a *Assignment, err error) (again bool, _ error) {
 	r.unknown = true
@@ -101,27 +111,22 @@
 	if r.begun {
 		return false, nil
 	}
-	r.begun = true
-	return false, r.sink.Begin(answer.Status, answer.Header)
+	return false, r.begin(answer)
 }
 
 // pass delivers events of the answer.
 func (r *forwardRun) pass(a *Assignment, answer Answered, events []byte) error {
 	now := clock.Now()
-	class := ident.ClassID(r.f.Rule.Name)
 	if !r.delivered {
 		r.delivered = true
-		r.first = now
-		r.d.cfg.Metrics.First("", class, now.Sub(r.f.Arrived))
+		r.answered(now)
 	} else {
-		r.d.cfg.Metrics.Between("", class, now.Sub(r.last))
+		r.d.cfg.Metrics.Between("", ident.ClassID(r.f.Rule.Name), now.Sub(r.last))
 	}
 	a.First()
-	r.free(max(0, now.Sub(r.started)-r.entered.Cost))
 	r.last = now
 	if !r.begun {
-		r.begun = true
-		if err := r.sink.Begin(answer.Status, answer.Header); err != nil {
+		if err := r.begin(answer); err != nil {
 			return err
 		}
 	}
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -207,9 +207,7 @@
 	now := clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	empty := true
-	f.table.Each(func(r *target.Record) { empty = empty && !r.Usable(now) })
-	return empty
+	return !f.table.Any(func(r *target.Record) bool { return r.Usable(now) })
 }
 
 // Record returns what is known of a target.
--- a/dispatch/told.go
+++ b/dispatch/told.go
@@ -47,8 +47,7 @@
 func (f *Fleet) Forget(now clock.Time, instances int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.router.SetInstances(instances)
-	f.router.Forget(now)
+	f.router.Forget(now, instances)
 }
 
 // HearLoads takes what all instances have at the targets, as of the given age.
--- a/instance/joining.go
+++ b/instance/joining.go
@@ -96,7 +96,9 @@
 		return
 	}
 	defer v.changes.Unlock()
-	err = v.removeDisk(ctx, node, lost.Disk)
+	ctx, cancel := context.WithTimeout(ctx, joinTime)
+	defer cancel()
+	err = removeDisk(ctx, node, lost.Disk)
 	v.in.log.WithFields(logrus.Fields{"event": "member_lost", "member": lost.ID, "disk": lost.Disk, "cause": err}).Warn("silent voter removed")
 }
 
@@ -120,9 +122,7 @@
 	return quorum.Member{}, false
 }
 
-func (v *voter) removeDisk(ctx context.Context, node *quorum.Node, d ident.DiskID) error {
-	ctx, cancel := context.WithTimeout(ctx, joinTime)
-	defer cancel()
+func removeDisk(ctx context.Context, node *quorum.Node, d ident.DiskID) error {
 	members := node.Status().Members
 	if _, ok := members.Find(d); !ok {
 		return fault.New(fault.NotFound, "disk %s is no member", d)
--- a/instance/members.go
+++ b/instance/members.go
@@ -30,7 +30,7 @@
 		}
 		return v.addMember(ctx, node, m.Instance, m.Address)
 	case peer.MemberRemove:
-		return v.removeDisks(ctx, node, m.Instance, "")
+		return removeDisks(ctx, node, m.Instance, "")
 	default:
 		return fault.New(fault.BadRequest, "want add or remove, not %q", m.Change)
 	}
@@ -65,7 +65,7 @@
 			return err
 		}
 	}
-	return v.removeDisks(ctx, node, id, formed.Disk)
+	return removeDisks(ctx, node, id, formed.Disk)
 }
 
 func (v *voter) awaitCatchUp(ctx context.Context, node *quorum.Node, d ident.DiskID) error {
@@ -84,14 +84,14 @@
 }
 
 // removeDisks removes an instance's disks but for one, each by a change of its own.
-func (v *voter) removeDisks(ctx context.Context, node *quorum.Node, id ident.InstanceID, keep ident.DiskID) error {
+func removeDisks(ctx context.Context, node *quorum.Node, id ident.InstanceID, keep ident.DiskID) error {
 	for {
-		members := node.Status().Members
-		i := slices.IndexFunc(members.Members, func(m quorum.Member) bool { return m.ID == id && m.Disk != keep })
+		members := node.Status().Members.Members
+		i := slices.IndexFunc(members, func(m quorum.Member) bool { return m.ID == id && m.Disk != keep })
 		if i < 0 {
 			return nil
 		}
-		if err := node.Change(ctx, members.Without(members.Members[i].Disk)); err != nil {
+		if err := removeDisk(ctx, node, members[i].Disk); err != nil {
 			return err
 		}
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -38,7 +38,7 @@
 
 // Leader answers what only the leader of the quorum knows.
 type Leader interface {
-	Propose(ctx context.Context, c state.Command) (state.Result, error)
+	Proposer
 	InForce(ctx context.Context, v state.Version) (bool, []ident.InstanceID, error)
 	View(ctx context.Context) (state.View, error)
 	Lookup(ctx context.Context, id state.ReceiptID) (state.Receipt, bool, error)
@@ -136,24 +136,35 @@
 	reply.JSON(w, status, applied)
 }
 
-// Apply commits a valid document and waits, within ForceTime, until it is in force.
-func (s *Server) Apply(ctx context.Context, doc *desired.Document) (*Applied, error) {
+// Proposer commits commands.
+type Proposer interface {
+	Propose(ctx context.Context, c state.Command) (state.Result, error)
+}
+
+// Propose commits a valid document. Jump lets its number be any above the present one; see
+// state.ApplyDocument.
+func Propose(ctx context.Context, p Proposer, doc *desired.Document, jump bool) (*state.Applied, error) {
 	data, digest, err := doc.Pack()
 	if err != nil {
 		return nil, err
 	}
-	try, cancel := context.WithTimeout(ctx, applyTime)
-	defer cancel()
-	result, err := s.cfg.Leader.Propose(try, state.Command{Apply: &state.ApplyDocument{
-		Number: doc.Number, Digest: digest, Data: data,
+	result, err := p.Propose(ctx, state.Command{Apply: &state.ApplyDocument{
+		Number: doc.Number, Digest: digest, Data: data, Jump: jump,
 	}})
 	if err != nil {
 		return nil, err
 	}
-	if err := result.Err(); err != nil {
+	return result.Applied, result.Err()
+}
+
+// Apply commits a valid document and waits, within ForceTime, until it is in force.
+func (s *Server) Apply(ctx context.Context, doc *desired.Document) (*Applied, error) {
+	try, cancel := context.WithTimeout(ctx, applyTime)
+	defer cancel()
+	a, err := Propose(try, s.cfg.Leader, doc, false)
+	if err != nil {
 		return nil, err
 	}
-	a := result.Applied
 	applied := &Applied{Number: a.Number, Digest: a.Digest, Current: a.Current, Accepted: true}
 	applied.InForce, applied.Waiting = s.awaitForce(ctx, a.Version)
 	s.cfg.Log.WithFields(logrus.Fields{
--- a/router/home.go
+++ b/router/home.go
@@ -24,13 +24,18 @@
 	}
 	clear(r.homes)
 	for i := range r.slots {
-		s, d := &r.slots[i], &r.details[i]
-		if d.known && s.usable && d.target.Role != "" {
-			r.homes[s.service] = append(r.homes[s.service], int32(i))
+		if r.usableEngine(int32(i)) {
+			r.homes[r.slots[i].service] = append(r.homes[r.slots[i].service], int32(i))
 		}
 	}
 }
 
+// usableEngine reports whether a slot is that of an engine which takes requests.
+func (r *Router) usableEngine(i int32) bool {
+	d := &r.details[i]
+	return d.known && r.slots[i].usable && d.target.Role != ""
+}
+
 // findHome finds the home of a beginning that no engine is known to have.
 func (r *Router) findHome(pieces []uint64, w *wanted) {
 	if !r.cfg.Homes || len(pieces) == 0 || len(r.touched) > 0 || w.need == NeedDecode {
--- a/router/retention.go
+++ b/router/retention.go
@@ -78,9 +78,6 @@
 	r.turnover(service).memory = float64(memory)
 }
 
-// SetInstances tells how many instances send requests.
-func (r *Router) SetInstances(n int) { r.instances = n }
-
 func (r *Router) turnover(service ident.ServiceID) *turnover {
 	t := r.turnovers[service]
 	if t == nil {
@@ -90,20 +87,21 @@
 	return t
 }
 
-// Forget drops what was last used too long ago to count as cached.
-func (r *Router) Forget(now clock.Time) {
+// Forget drops what was last used too long ago to count as cached, where so many instances
+// send requests.
+func (r *Router) Forget(now clock.Time, instances int) {
 	if r.cfg.Keep == 0 {
 		return
 	}
 	engines := map[ident.ServiceID]int{}
 	for i := range r.slots {
-		if s, d := &r.slots[i], &r.details[i]; d.known && s.usable && d.target.Role != "" {
-			engines[d.target.Service]++
+		if r.usableEngine(int32(i)) {
+			engines[r.details[i].target.Service]++
 		}
 	}
 	before := map[ident.ServiceID]clock.Time{}
 	for service, n := range engines {
-		before[service] = now.Add(-r.turnover(service).retention(now, n, r.instances, r.cfg.Keep))
+		before[service] = now.Add(-r.turnover(service).retention(now, n, instances, r.cfg.Keep))
 	}
 	for _, set := range r.prefixes.holders {
 		set.forget(func(slot int32) clock.Time { return before[r.details[slot].target.Service] })
--- a/router/retention_test.go
+++ b/router/retention_test.go
@@ -37,7 +37,6 @@
 				r.Put(Target{ID: ident.TargetID(fmt.Sprint("e", i)), Service: "s", Region: "r", Role: desired.RoleMixed})
 			}
 			r.SetMemory("s", memory)
-			r.SetInstances(test.instances)
 			at := clock.Time(time.Hour)
 			rate := test.each * float64(test.engines)
 			for end := at.Add(2 * time.Minute); at.Before(end); {
@@ -81,7 +80,7 @@
 				c, _ := r.Choose(req)
 				r.Sent(at, c, req)
 				r.Ended(at, c, req, false)
-				r.Forget(at)
+				r.Forget(at, 1)
 			}
 			c, _ := r.Choose(Request{Service: "s", Need: NeedPrefill, Prompt: 2000, Pieces: []uint64{1}})
 			if forgot := c.Cached == 0; forgot != test.forgot {
--- a/router/router.go
+++ b/router/router.go
@@ -150,7 +150,6 @@
 	homes     map[int32][]int32 // usable engines of each service
 	prefixes  *prefixes
 	turnovers map[ident.ServiceID]*turnover
-	instances int     // that send requests
 	depth     []int32 // scratch: pieces of the prompt that a slot has
 	touched   []int32 // scratch: slots with a depth
 	visited   int     // nodes that searches have visited, for tests
--- a/target/renewal_test.go
+++ b/target/renewal_test.go
@@ -48,15 +48,7 @@
 func TestManyTargetsToManyInstances(t *testing.T) {
 	const targets, instances = 600, 300
 	table := NewTable(1)
-	announce := func(sequence uint64) {
-		for i := range targets {
-			a := announcement(1, sequence)
-			a.Target = ident.TargetID(fmt.Sprint("t", i))
-			a.Load = Load{Slots: 48}
-			table.Take(now, a, now.Add(2*time.Second), true)
-		}
-	}
-	announce(1000)
+	announceMany(table, targets, 1000)
 	var others [instances]*Table
 	for i := range others {
 		others[i] = NewTable(RunID(i + 2))
@@ -71,7 +63,7 @@
 	if encodings != targets {
 		t.Errorf("%d of %d announcements are encoded once", encodings, targets)
 	}
-	announce(1001)
+	announceMany(table, targets, 1001)
 	for _, other := range others {
 		if size := pull(t, other, table); size > 8*targets {
 			t.Fatalf("%d bytes for %d heartbeats", size, targets)
@@ -83,6 +75,16 @@
 	}
 }
 
+// announceMany lets n targets that tell no load announce themselves.
+func announceMany(table *Table, n int, sequence uint64) {
+	for i := range n {
+		a := announcement(1, sequence)
+		a.Target = ident.TargetID(fmt.Sprint("t", i))
+		a.Load = Load{Slots: 48}
+		table.Take(now, a, now.Add(2*time.Second), true)
+	}
+}
+
 // pull lets a table ask another one over the wire and returns the size of the answer.
 func pull(t testing.TB, to, from *Table) int {
 	t.Helper()
@@ -120,20 +122,12 @@
 func BenchmarkRenewals(b *testing.B) {
 	const n = 600
 	table, other := NewTable(1), NewTable(2)
-	announce := func(sequence uint64) {
-		for i := range n {
-			a := announcement(1, sequence)
-			a.Target = ident.TargetID(fmt.Sprint("t", i))
-			a.Load = Load{Slots: 48}
-			table.Take(now, a, now.Add(2*time.Second), true)
-		}
-	}
-	announce(1)
+	announceMany(table, n, 1)
 	pull(b, other, table)
 	size := 0
 	for sequence := uint64(2); b.Loop(); sequence++ {
 		b.StopTimer()
-		announce(sequence)
+		announceMany(table, n, sequence)
 		b.StartTimer()
 		size = pull(b, other, table)
 	}
--- a/target/table.go
+++ b/target/table.go
@@ -134,6 +134,16 @@
 	}
 }
 
+// Any reports whether f holds for some record.
+func (t *Table) Any(f func(r *Record) bool) bool {
+	for _, r := range t.records {
+		if f(r) {
+			return true
+		}
+	}
+	return false
+}
+
 // All returns every record, ordered by target.
 func (t *Table) All() []Record {
 	all := make([]Record, 0, len(t.records))
