dispatch: a failure where an answer should go on does not end it as a whole one

Cause: a stream that broke off and was sent on to another target, which answered with a failure, got that failure's body behind its events and ended without an error.

--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -278,7 +279,10 @@
 	if answered.Load != nil {
 		a.Report(*answered.Load)
 	}
-	if r.f.Rule.Stream && answered.Status < 300 {
+	if r.begun && answered.Status >= http.StatusMultipleChoices {
+		return r.broken(ctx, a, fault.New(fault.TargetFailed, "status %d where the answer should go on", answered.Status))
+	}
+	if r.f.Rule.Stream && answered.Status < http.StatusMultipleChoices {
 		return r.stream(ctx, a, answered)
 	}
 	return r.whole(ctx, a, answered)
