inflight: loads without failures are read by the version before

Cause: structures between instances are arrays, and msgpack refuses one of another length: a Load of three fields would have ended the connection to every instance of the version before, with its leases, during an upgrade. Change: a Load without failures is the array of one field that it was; failures are told only where routing.failures says that all instances read them.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -139,7 +139,8 @@
 	}
 	return router.Config{
 		Region: s.Region, Domain: s.Domain, Links: links, Seed: uint64(time.Now().UnixNano()), Noise: routeNoise,
-		Handover: s.Routing.Handover.Span(), Move: s.Routing.Move.Span(), Reread: s.Routing.Reread.Span(), Homes: s.Routing.Homes, Fetch: s.Routing.Fetch, Shared: s.Routing.Share, Keep: s.Routing.Keep.Span(), Spread: s.Routing.Spread,
+		Handover: s.Routing.Handover.Span(), Move: s.Routing.Move.Span(), Reread: s.Routing.Reread.Span(), Keep: s.Routing.Keep.Span(),
+		Homes: s.Routing.Homes, Fetch: s.Routing.Fetch, Shared: s.Routing.Share, Spread: s.Routing.Spread, Failures: s.Routing.Failures,
 	}
 }
 
--- a/internal/cluster/inflight/inflight.go
+++ b/internal/cluster/inflight/inflight.go
@@ -12,9 +12,13 @@
 package inflight
 
 import (
+	"errors"
 	"math"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 )
@@ -24,11 +28,52 @@
 
 // Load is the requests of one instance, or of all, at a target.
 type Load struct {
-	Waiting ident.Tokens `msgpack:"waiting"` // prompt tokens without a first token
+	Waiting ident.Tokens // prompt tokens without a first token
 	// Answered and Failed count the answers to this instance, or to all, by a target that failed some lately. Older
 	// ones count less.
-	Answered Count `msgpack:"answered,omitempty"`
-	Failed   Count `msgpack:"failed,omitempty"`
+	Answered Count
+	Failed   Count
+}
+
+// Fields of a Load between instances: an array of the waiting tokens alone, as earlier versions read it, or of
+// all three.
+const (
+	fieldsWaiting = 1
+	fieldsAll     = 3
+)
+
+var (
+	_ msgpack.CustomEncoder = Load{}
+	_ msgpack.CustomDecoder = (*Load)(nil)
+)
+
+// EncodeMsgpack writes l, without counts if no request failed.
+func (l Load) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if l.Failed == 0 {
+		return errors.Join(enc.EncodeArrayLen(fieldsWaiting), enc.EncodeInt(int64(l.Waiting)))
+	}
+	return errors.Join(
+		enc.EncodeArrayLen(fieldsAll), enc.EncodeInt(int64(l.Waiting)), enc.EncodeInt(int64(l.Answered)), enc.EncodeInt(int64(l.Failed)),
+	)
+}
+
+// DecodeMsgpack reads l.
+func (l *Load) DecodeMsgpack(dec *msgpack.Decoder) error {
+	n, err := dec.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n != fieldsWaiting && n != fieldsAll {
+		return fault.New(fault.FrameInvalid, "load of %d fields", n)
+	}
+	var fields [fieldsAll]int64
+	for i := range n {
+		if fields[i], err = dec.DecodeInt64(); err != nil {
+			return err
+		}
+	}
+	*l = Load{Waiting: ident.Tokens(fields[0]), Answered: Count(fields[1]), Failed: Count(fields[2])}
+	return nil
 }
 
 // Count is a number of answers in hundredths, so that sums are exact.
--- a/router/accounting.go
+++ b/router/accounting.go
@@ -116,7 +116,7 @@
 	for i := range r.details {
 		d := &r.details[i]
 		o := Own{Target: d.target.ID, Waiting: ident.Tokens(d.waiting)}
-		if d.answers.Failed > 0 {
+		if r.cfg.Failures && d.answers.Failed > 0 {
 			d.answers.fade(now)
 			o.Answers = d.answers.Answers
 		}
--- a/router/failures_test.go
+++ b/router/failures_test.go
@@ -37,7 +37,7 @@
 func newFailures() *failures {
 	f := &failures{}
 	for i := range failuresInstances {
-		r := New(Config{Region: "r0", Links: DefaultLinks(), Seed: uint64(i), Noise: 0.1, Shared: true, Spread: true})
+		r := New(Config{Region: "r0", Links: DefaultLinks(), Seed: uint64(i), Noise: 0.1, Shared: true, Spread: true, Failures: true})
 		for e := range failuresEngines {
 			r.Put(Target{ID: ident.TargetID(fmt.Sprint("e", e)), Service: "s", Region: "r0", Role: desired.RoleMixed})
 		}
--- a/router/router.go
+++ b/router/router.go
@@ -78,6 +78,8 @@
 	Homes bool
 	// Spread tells that no prefill engine is kept for short prompts; see reserve.
 	Spread bool
+	// Failures tells that the instances tell each other which targets fail; see Answered.
+	Failures bool
 	// Noise is the part of a request's own cost by which equal choices are spread,
 	// so that instances with the same reports do not all choose the same target.
 	Noise float64
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -122,6 +122,9 @@
 	Fetch    bool             `json:"fetch,omitempty"`    // engines can get KV cache from each other before they process a prompt
 	Homes    bool             `json:"homes,omitempty"`    // shared prompts have homes that all instances agree on
 	Spread   bool             `json:"spread,omitempty"`   // no engine is reserved for short prompts
+	// Failures lets instances tell each other which targets fail, on top of Share. Versions before this one do not
+	// read it.
+	Failures bool `json:"failures,omitempty"`
 	// Prefill and Mixed are the rates of engines of these roles that report none, in
 	// prompt tokens a second.
 	Prefill ident.TokensPerSecond `json:"prefill,omitempty"`
