--- a/instance/duties.go
+++ b/instance/duties.go
@@ -213,8 +213,9 @@
 	})
 }
 
-func (in *Instance) noteFailures(before, now map[ident.TargetID]router.Failure) {
-	for id, f := range now {
+// noteFailures logs the targets that began or ceased to count as failing.
+func (in *Instance) noteFailures(before, present map[ident.TargetID]router.Failure) {
+	for id, f := range present {
 		if _, known := before[id]; known {
 			continue
 		}
@@ -224,7 +225,7 @@
 		}).Warn("target fails requests")
 	}
 	for id := range before {
-		if _, still := now[id]; !still {
+		if _, still := present[id]; !still {
 			in.log.WithFields(logrus.Fields{"event": "target_well", "target": id}).Info("target counts as sound again")
 		}
 	}
