limits: see the rate limit that a target names

Change: platform/ decodes the header once, into permit.Named or NotNamed; an unreadable value is logged and changes nothing. The pool keeps the limits that it has seen, by target and incarnation. limit_named and limit_ended are logged with the request that told, placed says whether the target is limited, sent_to_limited and limited_targets are metrics, hickoryctl targets has a column. Routing is unchanged.

--- a/cmd/hickoryctl/commands.go
+++ b/cmd/hickoryctl/commands.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strconv"
 	"text/tabwriter"
 
 	"github.com/hickoryridge/hickoryridge/caller"
@@ -155,16 +156,19 @@
 		}
 		_, _ = w.Write([]byte("\n"))
 	}
-	row("target", "service", "address", "region", "domain", "role", "usable")
+	row("target", "service", "address", "region", "domain", "role", "usable", "limit")
 	for _, t := range list {
-		role, usable := "", "no"
+		role, usable, limit := "", "no", ""
 		if t.Engine != nil {
 			role = string(t.Engine.Role)
 		}
 		if t.Usable {
 			usable = "yes"
 		}
-		row(string(t.Announcement.Target), string(t.Service), t.Address, string(t.Region), string(t.Domain), role, usable)
+		if t.RateLimit != nil {
+			limit = strconv.FormatFloat(float64(*t.RateLimit), 'g', -1, 64) + "/s"
+		}
+		row(string(t.Announcement.Target), string(t.Service), t.Address, string(t.Region), string(t.Domain), role, usable, limit)
 	}
 	if err := w.Flush(); err != nil {
 		return cli.ExitFailed
--- a/dispatch/assignment.go
+++ b/dispatch/assignment.go
@@ -27,6 +27,9 @@
 
 	pool          *TargetPool
 	req           router.Request
+	incarnation   ident.Incarnation // of the target
+	sentAt        clock.Time        // when the target was chosen
+	limited       bool              // the target had named a rate limit by then
 	gotFirstToken bool
 	placer        ident.InstanceID // placer that chose the target; empty if this instance did
 	notify        func(peer.Note)  // reports progress to that placer; nil if there is none
@@ -49,7 +52,7 @@
 	r, _ := pool.table.Get(c.ID)
 	c = pool.router.Sent(now, c, req)
 	pool.running[c.ID]++
-	a := &Assignment{Choice: c, Address: r.Address, Region: r.Region, pool: pool, req: req}
+	a := &Assignment{Choice: c, Address: r.Address, Region: r.Region, pool: pool, req: req, incarnation: r.Incarnation, sentAt: now, limited: pool.limits.Limited(c.ID)}
 	if source, ok := pool.table.Get(c.Source); ok {
 		a.Source = source.Address
 	}
--- a/dispatch/backend.go
+++ b/dispatch/backend.go
@@ -9,6 +9,7 @@
 	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
 	"github.com/hickoryridge/hickoryridge/router"
 )
 
@@ -57,6 +58,7 @@
 	Header http.Header
 	Body   io.ReadCloser  // an error before EOF means that the answer was truncated
 	Load   *router.Report // load reported with the answer; nil if there is none
+	Limit  permit.Statement
 }
 
 // NotRun means that the target has not executed the request and never will.
@@ -64,6 +66,7 @@
 	Reason Reason
 	Err    error
 	Load   *router.Report // load reported with the answer; nil if there is none
+	Limit  permit.Statement
 }
 
 // Unknown means that the request may have been executed, or may still be.
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -294,7 +294,7 @@
 	c := a.Choice
 	r.d.cfg.Log.WithFields(logrus.Fields{
 		"event": "placed", "request": r.req.ID, "rule": r.req.Rule.Name, "target": c.ID, "need": stage, "split": a.PrefillOnly, "cross": c.CrossRegion,
-		"expected": c.TTFT.Milliseconds(), "wait": c.Wait.Milliseconds(), "prompt": r.promptTokens, "cached": c.Cached, "source": c.Source, "by": a.placer,
+		"expected": c.TTFT.Milliseconds(), "wait": c.Wait.Milliseconds(), "prompt": r.promptTokens, "cached": c.Cached, "source": c.Source, "by": a.placer, "limited": a.limited,
 		"at": clock.Now().Sub(r.req.Arrived).Milliseconds(), "number": r.req.Config.Number,
 	}).Info("target chosen")
 }
@@ -305,11 +305,15 @@
 
 func (r *forwardRun) prefill(ctx context.Context, a *Assignment) (*KVCacheRef, Outcome) {
 	defer a.Finish()
+	r.countLimited(a)
 	cache, outcome := r.d.cfg.Backend.Prefill(ctx, r.call(a))
 	if cache != nil {
 		a.FirstToken()
 		a.ReportAnswer(false)
 	}
+	if answered, ok := outcome.(Answered); ok {
+		r.recordLimit(a, answered.Limit)
+	}
 	return cache, outcome
 }
 
@@ -323,6 +327,7 @@
 // runAt runs the request at a target and relays its answer.
 func (r *forwardRun) runAt(ctx context.Context, a *Assignment, cache *KVCacheRef) (retry bool, err error) {
 	defer a.Finish()
+	r.countLimited(a)
 	call := r.call(a)
 	call.Import = cache
 	outcome := r.d.cfg.Backend.Run(ctx, call)
@@ -337,6 +342,7 @@
 	if answered.Load != nil {
 		a.ReportLoad(*answered.Load)
 	}
+	r.recordLimit(a, answered.Limit)
 	if r.headerSent && answered.Status >= http.StatusMultipleChoices {
 		return r.handleTruncated(ctx, a, fault.New(fault.TargetFailed, "status %d instead of the rest of the answer", answered.Status))
 	}
@@ -373,6 +379,7 @@
 	if o.Load != nil {
 		a.ReportLoad(*o.Load)
 	}
+	r.recordLimit(a, o.Limit)
 	switch o.Reason {
 	case Unreachable:
 		r.unreached++
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/router"
 	"github.com/hickoryridge/hickoryridge/state"
@@ -30,6 +31,7 @@
 	placements []peer.Placement       // not yet shared with other instances
 	// suspects maps each target that failed a request to the time until which it is avoided.
 	suspects map[ident.TargetID]clock.Time
+	limits   *permit.Limits
 
 	deadlines      deadlines
 	leaseDeadlines map[ident.TargetID]clock.Time // ends of leases that have an entry in deadlines
@@ -40,7 +42,7 @@
 func NewTargetPool(cfg router.Config, gate *Gate, run target.RunID) *TargetPool {
 	return &TargetPool{
 		gate: gate, now: clock.Now, table: target.NewTable(run), router: router.New(cfg),
-		running: map[ident.TargetID]int{}, suspects: map[ident.TargetID]clock.Time{}, leaseDeadlines: map[ident.TargetID]clock.Time{},
+		running: map[ident.TargetID]int{}, suspects: map[ident.TargetID]clock.Time{}, limits: permit.NewLimits(), leaseDeadlines: map[ident.TargetID]clock.Time{},
 	}
 }
 
@@ -117,6 +119,7 @@
 func (pool *TargetPool) applyAnnouncement(now clock.Time, old target.Record, a target.Announcement) {
 	if old.Target != "" && a.Incarnation > old.Incarnation {
 		pool.router.Restarted(a.Target)
+		pool.limits.Forget(a.Target, a.Incarnation)
 	}
 	t := router.Target{ID: a.Target, Service: a.Service, Region: a.Region, Domain: a.Domain}
 	if a.Engine != nil {
@@ -163,6 +166,7 @@
 		if _, known := pool.table.Get(l.Target.ID); !known {
 			pool.router.Remove(l.Target.ID)
 			delete(pool.suspects, l.Target.ID)
+			pool.limits.Forget(l.Target.ID, math.MaxUint64)
 		}
 	}
 }
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -69,6 +69,9 @@
 // TokensPerSecond is a rate of model tokens.
 type TokensPerSecond float64
 
+// RequestsPerSecond is a rate of requests.
+type RequestsPerSecond float64
+
 // randomBytes is the length of a generated identifier before hexadecimal encoding.
 const randomBytes = 12
 
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -294,6 +294,7 @@
 		in.metrics.Gauge("running", float64(running))
 		in.metrics.Gauge("waiting", float64(waiting))
 		in.metrics.Gauge("view", float64(in.gate.Version()))
+		in.metrics.Gauge("limited_targets", float64(len(in.targetPool.Limits())))
 		in.metrics.Gauge("receipts_pending", float64(in.receipts.Pending()))
 		in.metrics.Gauge("target_connections_opened", float64(in.targetClient.Opened()))
 		for message, bytes := range in.network.SentBytes() {
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -84,7 +84,7 @@
 	r := chi.NewRouter()
 	in.health().Mount(r)
 	r.Method(http.MethodGet, "/metrics", in.metrics.Handler())
-	operator.New(operator.Config{Leader: in.leader, Targets: in.targetPool.Records, Local: in.localStatus, Log: in.log}).Mount(r)
+	operator.New(operator.Config{Leader: in.leader, Targets: in.targetPool.Records, Limits: in.targetPool.Limits, Local: in.localStatus, Log: in.log}).Mount(r)
 	target.NewAnnounceHandler(func(a target.Announcement) { in.targetPool.Announce(clock.Now(), a) }).Mount(r)
 	seed.Mount(r, in.seedInfo)
 	if in.settings.Protocol == settings.ProtocolPlatform {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -21,6 +21,7 @@
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
 	"github.com/hickoryridge/hickoryridge/internal/reply"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/state"
@@ -50,6 +51,7 @@
 type Config struct {
 	Leader  Leader
 	Targets func() []target.Record
+	Limits  func() []permit.Limit // rate limits that targets have named
 	Local   func() LocalStatus
 	Log     *logrus.Entry
 }
@@ -241,14 +243,21 @@
 type Target struct {
 	target.Announcement
 	Usable bool `json:"usable"`
+	// RateLimit is the rate limit that the target named, in requests per second from all instances
+	// together; nil if the instance knows none.
+	RateLimit *ident.RequestsPerSecond `json:"ratelimit,omitempty"`
 }
 
 func (s *Server) targets(w http.ResponseWriter, _ *http.Request) {
 	now := clock.Now()
+	limits := map[ident.TargetID]*ident.RequestsPerSecond{}
+	for _, l := range s.cfg.Limits() {
+		limits[l.Target] = &l.Rate
+	}
 	list := []Target{}
 	for _, r := range s.cfg.Targets() {
 		r.Cache = nil
-		list = append(list, Target{Announcement: r.Announcement, Usable: r.Usable(now)})
+		list = append(list, Target{Announcement: r.Announcement, Usable: r.Usable(now), RateLimit: limits[r.Target]})
 	}
 	reply.JSON(w, http.StatusOK, list)
 }
