limits: permits from the leader for every call to a target that names a rate

Cause: requests to a target were bounded by its slots and by what each instance expects of it, never by a rate of all instances together. The class: a bound that holds for the whole system, kept by instances that each see their own part.

Change: package permit. The leader grants permits at the named rate, each for one request within 1 s of the question; an instance that knows a limit sends nothing without one: new, repeated, resumed, prompts processed apart, released KV cache. A request without a permit goes to another target; if there is none it waits for the question that is due, or is refused at once with the time to come back (target_limited). Placers use permits for their region. Limits spread by the leader's replies: leases, sums, permits; a new leader starts with an empty bucket and is told again.

--- a/cmd/hickoryctl/commands.go
+++ b/cmd/hickoryctl/commands.go
@@ -137,6 +137,9 @@
 	for _, o := range r.Open {
 		c.printf("order %s: engine %s wish %+v, %s\n", o.ID, o.Engine, o.Spec, r.Waiting[o.ID])
 	}
+	for _, l := range r.Limits {
+		c.printf("limit %s: %v requests/s, %d permits granted, %d requests without, %d instances waiting\n", l.Limit.Target, l.Limit.Rate, l.Granted, l.Refused, l.Waiting)
+	}
 	c.printf("receipts: %d kept, %d open, %d marks\n", r.Receipts.Receipts, r.Receipts.Open, r.Receipts.Tombstones)
 }
 
--- a/dispatch/assignment.go
+++ b/dispatch/assignment.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/router"
 )
@@ -30,29 +30,35 @@
 	incarnation   ident.Incarnation // of the target
 	sentAt        clock.Time        // when the target was chosen
 	limited       bool              // the target had named a rate limit by then
+	permit        permit.Permit     // taken by this instance; empty if none was needed
 	gotFirstToken bool
 	placer        ident.InstanceID // placer that chose the target; empty if this instance did
 	notify        func(peer.Note)  // reports progress to that placer; nil if there is none
 }
 
 // Choose picks a target and counts the request there. It returns fault.NoTarget if no target is
-// usable.
+// usable, and fault.TargetLimited if all that are have a rate limit and there is no permit.
 func (pool *TargetPool) Choose(now clock.Time, req router.Request) (*Assignment, error) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	c, ok := pool.pick(now, req)
+	pool.noteDemand(now, req.Service, !ok)
 	if !ok {
-		return nil, fault.New(fault.NoTarget, "no target of service %q is usable", req.Service)
+		return nil, pool.unavailable(now, req)
 	}
-	return pool.assign(now, req, c), nil
+	taken, ok := pool.takePermit(now, c.ID)
+	if !ok {
+		return nil, pool.unavailable(now, req)
+	}
+	return pool.assign(now, req, c, taken), nil
 }
 
 // assign counts the request at the chosen target. pool.mu is held.
-func (pool *TargetPool) assign(now clock.Time, req router.Request, c router.Choice) *Assignment {
+func (pool *TargetPool) assign(now clock.Time, req router.Request, c router.Choice, taken permit.Permit) *Assignment {
 	r, _ := pool.table.Get(c.ID)
 	c = pool.router.Sent(now, c, req)
 	pool.running[c.ID]++
-	a := &Assignment{Choice: c, Address: r.Address, Region: r.Region, pool: pool, req: req, incarnation: r.Incarnation, sentAt: now, limited: pool.limits.Limited(c.ID)}
+	a := &Assignment{Choice: c, Address: r.Address, Region: r.Region, pool: pool, req: req, incarnation: r.Incarnation, sentAt: now, limited: pool.limits.Limited(c.ID), permit: taken}
 	if source, ok := pool.table.Get(c.Source); ok {
 		a.Source = source.Address
 	}
@@ -176,7 +182,9 @@
 	pool := a.pool
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	pool.router.Withdrawn(pool.now(), a.Choice, a.req)
+	now := pool.now()
+	pool.router.Withdrawn(now, a.Choice, a.req)
+	pool.returnPermit(now, a.permit)
 	a.release()
 }
 
--- a/dispatch/chat.go
+++ b/dispatch/chat.go
@@ -75,9 +75,9 @@
 // met is refused at once.
 func (r *chatRun) admit(ctx context.Context) error {
 	info := r.chat.Info
-	expected, ok := r.d.cfg.Targets.Preview(clock.Now(), r.routeRequest(router.StagePrefill))
-	if !ok {
-		return fault.New(fault.NoTarget, "no target of service %q is usable", r.chat.Service.Name)
+	expected, err := r.d.preview(ctx, r.routeRequest(router.StagePrefill))
+	if err != nil {
+		return err
 	}
 	r.admitted = admit.Request{
 		Tenant: info.Tenant.Name, Class: info.Class.Name,
@@ -150,7 +150,7 @@
 // attempt runs the request at one engine, or processes its prompt at one engine and generates the
 // answer at another.
 func (r *chatRun) attempt(ctx context.Context) error {
-	assigned, err := r.choose(router.StagePrefill, "")
+	assigned, err := r.choose(ctx, router.StagePrefill, "")
 	if err != nil {
 		return err
 	}
@@ -162,7 +162,7 @@
 	if err != nil {
 		return err
 	}
-	decode, err := r.choose(router.StageDecode, assigned.Region)
+	decode, err := r.choose(ctx, router.StageDecode, assigned.Region)
 	if err != nil {
 		return err
 	}
@@ -170,14 +170,14 @@
 	return r.stream(ctx, decode, kvHandle)
 }
 
-func (r *chatRun) choose(stage router.Stage, from ident.RegionID) (*Assignment, error) {
+func (r *chatRun) choose(ctx context.Context, stage router.Stage, from ident.RegionID) (*Assignment, error) {
 	req := r.routeRequest(stage)
 	req.KVRegion = from
-	assigned, err := r.d.cfg.Targets.Choose(clock.Now(), req)
+	assigned, err := r.d.choose(ctx, req)
 	if err != nil && (r.avoid != "" || r.version != "") {
 		// The only usable target may be the one that failed, or one with another model version.
 		req.Avoid, req.Version = "", ""
-		assigned, err = r.d.cfg.Targets.Choose(clock.Now(), req)
+		assigned, err = r.d.choose(ctx, req)
 	}
 	if err != nil {
 		return nil, err
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -174,9 +174,9 @@
 		}
 		a.Withdraw() // this instance chooses again when the request is admitted
 	}
-	expected, ok := r.d.cfg.Targets.Preview(clock.Now(), r.routeRequest(router.StagePrefill))
-	if !ok {
-		return fault.New(fault.NoTarget, "no target of service %q is usable", r.req.Service)
+	expected, err := r.d.preview(ctx, r.routeRequest(router.StagePrefill))
+	if err != nil {
+		return err
 	}
 	r.admitted.Cost = expected.TTFT - expected.Wait
 	return nil
@@ -254,12 +254,12 @@
 	}
 	decode, err := r.choose(ctx, router.StageDecode, assigned.Region, 0)
 	if err != nil {
-		r.releaseCache(ctx, cache)
+		r.releaseCache(ctx, assigned, cache)
 		return false, err
 	}
 	retry, err = r.runAt(ctx, decode, cache)
 	if err != nil && !r.headerSent {
-		r.releaseCache(ctx, cache)
+		r.releaseCache(ctx, assigned, cache)
 	}
 	return retry, err
 }
@@ -268,7 +268,7 @@
 // short requests.
 func (r *forwardRun) place(ctx context.Context, req router.Request, objective time.Duration) (*Assignment, error) {
 	if !r.hasEngines {
-		return r.d.cfg.Targets.Choose(clock.Now(), req)
+		return r.d.choose(ctx, req)
 	}
 	return r.d.place(ctx, req, r.req.remaining(clock.Now()), objective)
 }
@@ -317,8 +317,12 @@
 	return cache, outcome
 }
 
-// releaseCache frees KV cache that will not be used.
-func (r *forwardRun) releaseCache(ctx context.Context, cache *KVCacheRef) {
+// releaseCache frees KV cache that will not be used, at the engine that processed the prompt. An
+// engine with a rate limit frees it by itself after some time if there is no permit for the call.
+func (r *forwardRun) releaseCache(ctx context.Context, a *Assignment, cache *KVCacheRef) {
+	if !a.takePermit() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
 	r.d.cfg.Backend.Release(ctx, cache)
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -8,6 +8,7 @@
 	"github.com/hickoryridge/hickoryridge/fleet"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/router"
 )
@@ -27,14 +28,14 @@
 // that this instance chooses a target for, is never refused for that reason.
 func (d *Dispatcher) place(ctx context.Context, req router.Request, remaining, objective time.Duration) (*Assignment, error) {
 	if d.cfg.Placement == nil {
-		return d.cfg.Targets.Choose(clock.Now(), req)
+		return d.choose(ctx, req)
 	}
 	placed, placer, err := d.cfg.Placement.Place(ctx, &peer.Place{
 		Service: req.Service, Version: req.Version, Stage: req.Stage, Prompt: req.Prompt, Parts: req.Parts,
 		Avoid: req.Avoid, Urgency: req.Urgency, CacheRegion: req.KVRegion, Remaining: remaining, TTFTObjective: objective, KnownEngines: d.cfg.Targets.EngineCount(clock.Now(), req.Service),
 	})
-	if err != nil {
-		return d.cfg.Targets.Choose(clock.Now(), req)
+	if err != nil || placed.Limited {
+		return d.choose(ctx, req)
 	}
 	if placed.RetryAfter > 0 {
 		err := fault.New(fault.DeadlineUnreachable, "first token expected after %v, objective %v, as estimated by placer %s", placed.ExpectedTTFT, objective, placer)
@@ -46,8 +47,11 @@
 	}
 	a, err := d.cfg.Targets.Assign(clock.Now(), req, placed)
 	if err != nil {
+		if rate, limited := d.cfg.Targets.RateLimit(placed.Target); limited {
+			notify(peer.Note{Event: peer.NoteLimited, Rate: &rate}) // the placer did not know
+		}
 		notify(peer.Note{Event: peer.NoteWithdrawn})
-		return d.cfg.Targets.Choose(clock.Now(), req)
+		return d.choose(ctx, req)
 	}
 	a.placer, a.notify = placer, notify
 	return a, nil
@@ -70,7 +74,8 @@
 }
 
 // Assign counts a request at the target that a placer chose. It returns fault.NoTarget if the
-// target may not receive new work from this instance.
+// target may not receive new work from this instance, and fault.TargetLimited if it needs a permit
+// and there is none.
 func (pool *TargetPool) Assign(now clock.Time, req router.Request, placed *peer.Placed) (*Assignment, error) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
@@ -79,6 +84,14 @@
 	if !ok || !pool.router.Usable(placed.Target) {
 		return nil, fault.New(fault.NoTarget, "target %s, chosen by a placer, is not usable by this instance", placed.Target)
 	}
+	var taken permit.Permit
+	if !placed.Permitted {
+		if taken, ok = pool.takePermit(now, placed.Target); !ok {
+			return nil, fault.New(fault.TargetLimited, "target %s, chosen by a placer without a permit, has a rate limit", placed.Target)
+		}
+	}
 	c.Cached, c.Source, c.TTFT, c.Wait = placed.Cached, placed.CacheSource, placed.ExpectedTTFT, placed.QueueWait
-	return pool.assign(now, req, c), nil
+	a := pool.assign(now, req, c, taken)
+	a.limited = a.limited || placed.Permitted
+	return a, nil
 }
--- a/dispatch/placer.go
+++ b/dispatch/placer.go
@@ -7,6 +7,7 @@
 
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/router"
 )
@@ -80,6 +81,9 @@
 		}
 	}
 	a, err := p.pool.Choose(now, req)
+	if fault.Is(err, fault.TargetLimited) {
+		return &peer.Placed{Limited: true, RetryAfter: fault.ResponseOf(err).RetryAfter}, nil
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -88,7 +92,7 @@
 	p.lastTicket++
 	p.placements[p.lastTicket] = openPlacement{a, now.Add(request.Remaining + placementSlack)}
 	c := &a.Choice
-	return &peer.Placed{Ticket: p.lastTicket, Target: c.ID, CacheSource: c.Source, Cached: c.Cached, ExpectedTTFT: c.TTFT, QueueWait: c.Wait}, nil
+	return &peer.Placed{Ticket: p.lastTicket, Target: c.ID, CacheSource: c.Source, Cached: c.Cached, ExpectedTTFT: c.TTFT, QueueWait: c.Wait, Permitted: a.limited}, nil
 }
 
 // maxQueueWait returns how long a request may wait in a queue if its own prompt takes the time
@@ -99,8 +103,9 @@
 }
 
 // Notify applies reports on the progress of placements. It ignores those of another run and those
-// of placements that have ended.
-func (p *Placer) Notify(notes []peer.Note) {
+// of placements that have ended. It returns the rate limits that changed by them.
+func (p *Placer) Notify(notes []peer.Note) []permit.ChangedLimit {
+	var changed []permit.ChangedLimit
 	for _, n := range notes {
 		p.mu.Lock()
 		placed, ok := p.placements[n.Ticket]
@@ -108,10 +113,16 @@
 			delete(p.placements, n.Ticket)
 		}
 		p.mu.Unlock()
-		if ok {
-			placed.assigned.applyNote(n)
+		if !ok {
+			continue
+		}
+		if s := limitStatement(n); s != nil {
+			changed = placed.assigned.appendChange(changed, s)
+			continue
 		}
+		placed.assigned.applyNote(n)
 	}
+	return changed
 }
 
 // ExpirePlacements ends the placements that have reached their time limit.
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -101,7 +101,7 @@
 
 // trySendOnce makes one attempt at one target. The returned target is empty if none was usable.
 func (d *Dispatcher) trySendOnce(ctx context.Context, p PlainRequest, avoid ident.TargetID, beforeSend func() error) (*plain.Response, ident.TargetID, error) {
-	assigned, err := d.cfg.Targets.Choose(clock.Now(), router.Request{Service: p.Service.Name, Avoid: avoid})
+	assigned, err := d.choose(ctx, router.Request{Service: p.Service.Name, Avoid: avoid})
 	if err != nil {
 		return nil, "", err
 	}
@@ -159,9 +159,9 @@
 }
 
 func (d *Dispatcher) trySendIdempotent(ctx context.Context, p PlainRequest, avoid ident.TargetID) (*plain.Response, ident.TargetID, error) {
-	assigned, err := d.cfg.Targets.Choose(clock.Now(), router.Request{Service: p.Service.Name, Avoid: avoid})
+	assigned, err := d.choose(ctx, router.Request{Service: p.Service.Name, Avoid: avoid})
 	if err != nil && avoid != "" {
-		assigned, err = d.cfg.Targets.Choose(clock.Now(), router.Request{Service: p.Service.Name})
+		assigned, err = d.choose(ctx, router.Request{Service: p.Service.Name})
 	}
 	if err != nil {
 		return nil, "", err
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -32,6 +32,11 @@
 	// suspects maps each target that failed a request to the time until which it is avoided.
 	suspects map[ident.TargetID]clock.Time
 	limits   *permit.Limits
+	// permitsWanted signals that a request for permits may be due.
+	permitsWanted chan struct{}
+	// permitRound is closed when the request for permits that is due or in progress has ended; nil
+	// if there is none.
+	permitRound chan struct{}
 
 	deadlines      deadlines
 	leaseDeadlines map[ident.TargetID]clock.Time // ends of leases that have an entry in deadlines
@@ -42,7 +47,7 @@
 func NewTargetPool(cfg router.Config, gate *Gate, run target.RunID) *TargetPool {
 	return &TargetPool{
 		gate: gate, now: clock.Now, table: target.NewTable(run), router: router.New(cfg),
-		running: map[ident.TargetID]int{}, suspects: map[ident.TargetID]clock.Time{}, limits: permit.NewLimits(), leaseDeadlines: map[ident.TargetID]clock.Time{},
+		running: map[ident.TargetID]int{}, suspects: map[ident.TargetID]clock.Time{}, limits: permit.NewLimits(), permitsWanted: make(chan struct{}, 1), leaseDeadlines: map[ident.TargetID]clock.Time{},
 	}
 }
 
--- a/dispatch/usable.go
+++ b/dispatch/usable.go
@@ -68,13 +68,15 @@
 	heap.Push(&pool.deadlines, deadline{r.Expires, id})
 }
 
-// updateUsable sets in the router whether a target may receive new work.
+// updateUsable sets in the router whether a target may receive new work, now and without regard to
+// its rate limit.
 func (pool *TargetPool) updateUsable(now clock.Time, r *target.Record) {
 	usable := r.Usable(now) && (r.Engine == nil || !r.Engine.Busy)
 	if current := pool.gate.Latest(); current != nil && current.Drained(r.Target) {
 		usable = false
 	}
 	pool.router.SetUsable(r.Target, usable && !now.Before(pool.suspects[r.Target]))
+	pool.router.SetAccess(r.Target, pool.access(now, r.Target))
 }
 
 // suspect avoids a target until the given time.
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -49,6 +49,7 @@
 	FrameInvalid
 	Timeout
 	HeaderTooLarge
+	TargetLimited
 	kindCount // number of kinds; must be last
 )
 
@@ -106,6 +107,7 @@
 	Corrupt:             {http.StatusInternalServerError, "corrupt", RanUnknown, 0},
 	FrameInvalid:        {http.StatusBadRequest, "frame_invalid", RanNo, 0},
 	HeaderTooLarge:      {http.StatusRequestHeaderFieldsTooLarge, "header_too_large", RanNo, 0},
+	TargetLimited:       {http.StatusServiceUnavailable, "target_limited", RanNo, shortRetryDelay},
 	Timeout:             {http.StatusGatewayTimeout, "timeout", RanUnknown, shortRetryDelay},
 }
 
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -105,6 +105,7 @@
 	// The count of a new leader starts low and grows as instances renew, so the recorded number
 	// shrinks by at most one per renewal.
 	in.leaseHolders.Store(int64(max(grant.Holders, previous-1)))
+	in.mergeLimits(requestedAt, grant.Limits)
 	if err := in.gate.ApplyGrant(requestedAt, grant); err != nil {
 		return err
 	}
@@ -220,6 +221,7 @@
 	now := clock.Now()
 	in.targetPool.MergeLoads(now, now.Sub(requestedAt)/2+in.scaledInterval(shareInterval)/2, sum.Loads)
 	in.targetPool.MergePlacements(now, sum.Placed)
+	in.mergeLimits(requestedAt, sum.Limits)
 	return sum.Next
 }
 
@@ -240,6 +242,7 @@
 	}
 	now := clock.Now()
 	in.targetPool.MergeLoads(now, now.Sub(requestedAt)/2, sum.Loads)
+	in.mergeLimits(requestedAt, sum.Limits)
 }
 
 // pruneRouter is the background task that removes expired prompt cache entries and old target
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -263,6 +263,9 @@
 		}
 		g.Go("callers", in.serveCallers)
 	}
+	if in.listeners.callers != nil || in.placer != nil {
+		g.Go("permits", in.acquirePermits)
+	}
 	if in.placerClient != nil {
 		g.Go("locate", in.placerClient.locateVoters)
 		g.Go("notes", in.placerClient.sendNotes)
@@ -392,7 +395,7 @@
 		return in.placer.Place(clock.Now(), b)
 	case *peer.Progress:
 		if in.placer != nil {
-			in.placer.Notify(b.Notes)
+			in.logLimits("placement", in.placer.Notify(b.Notes))
 		}
 		return nil, nil
 	case *peer.Form:
--- /dev/null
+++ b/instance/permits.go
@@ -0,0 +1,86 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
+	"github.com/hickoryridge/hickoryridge/peer"
+)
+
+const (
+	// acquireTimeout bounds a request for permits, which are valid for permit.PermitTime from its
+	// start.
+	acquireTimeout = 400 * time.Millisecond
+	// reportRetryInterval is the interval at which limits are reported until the leader knows them.
+	reportRetryInterval = 100 * time.Millisecond
+)
+
+// acquirePermits is the background task that requests permits for targets with a rate limit, when
+// there are requests for them, and reports limits to the leader.
+func (in *Instance) acquirePermits(ctx context.Context) error {
+	for {
+		var retry <-chan time.Time
+		if in.targetPool.LimitsUnreported() {
+			retry = time.After(reportRetryInterval)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-in.targetPool.PermitsWanted():
+		case <-retry:
+		}
+		in.acquireOnce(ctx)
+	}
+}
+
+func (in *Instance) acquireOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
+	defer cancel()
+	requestedAt := clock.Now()
+	request, due := in.targetPool.PermitRequest(requestedAt)
+	if !due {
+		return
+	}
+	acquired, err := requestAs[*peer.Acquired](ctx, in.leader, &peer.Acquire{Instance: in.settings.Instance, Request: request})
+	if err != nil {
+		in.targetPool.PermitsFailed(clock.Now(), request)
+		in.log.WithFields(logrus.Fields{"event": "permits_not_acquired", "cause": err}).Warn("the leader did not reply to a request for permits; limited targets get no requests meanwhile")
+		return
+	}
+	in.countPermits(request, acquired.Reply)
+	in.logLimits("leader", in.targetPool.ApplyPermits(clock.Now(), requestedAt, request, acquired.Reply))
+}
+
+// countPermits counts the permits that were wanted and granted.
+func (in *Instance) countPermits(request permit.Request, reply permit.Reply) {
+	for _, o := range request.Observations {
+		in.metrics.CountBy("permits_wanted", o.Wanted)
+	}
+	for _, g := range reply.Grants {
+		in.metrics.CountBy("permits_granted", g.Count)
+		in.log.WithFields(logrus.Fields{
+			"event": "permits", "target": g.Target, "granted": g.Count, "retry": g.RetryAfter.Milliseconds(),
+		}).Debug("the leader replied to a request for permits")
+	}
+}
+
+// mergeLimits applies the limits in a reply of the leader to a request sent at requestedAt.
+func (in *Instance) mergeLimits(requestedAt clock.Time, s permit.Snapshot) {
+	in.logLimits("leader", in.targetPool.MergeLimits(clock.Now(), requestedAt, s))
+}
+
+// logLimits logs the limits that another instance made known here.
+func (in *Instance) logLimits(source string, changed []permit.ChangedLimit) {
+	for _, c := range changed {
+		fields := logrus.Fields{"event": "limit_named", "target": c.Limit.Target, "incarnation": c.Limit.Incarnation, "rate": float64(c.Limit.Rate), "source": source}
+		text := "learned of a target's rate limit"
+		if c.Change == permit.Ended {
+			fields["event"], text = "limit_ended", "learned that a target no longer has a rate limit"
+		}
+		in.log.WithFields(fields).Info(text)
+	}
+}
--- a/instance/voter.go
+++ b/instance/voter.go
@@ -13,6 +13,7 @@
 
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
 	"github.com/hickoryridge/hickoryridge/internal/task"
 	"github.com/hickoryridge/hickoryridge/leader"
 	"github.com/hickoryridge/hickoryridge/peer"
@@ -220,6 +221,8 @@
 	case *peer.Works:
 		coordinator.RecordWork(b)
 		return &peer.Done{}, nil
+	case *peer.Acquire:
+		return coordinator.Acquire(b)
 	case *peer.Failing:
 		return coordinator.ExchangeFailures(b), nil
 	case *peer.Propose:
@@ -267,6 +270,7 @@
 	Settled   []state.Order            `json:"settled"`
 	Waiting   map[ident.OrderID]string `json:"waiting"`
 	Receipts  state.Counts             `json:"receipts"`
+	Limits    []permit.Status          `json:"limits"`
 }
 
 // MemberReport describes one replica in a Report.
@@ -282,7 +286,7 @@
 	st := node.Status()
 	r := Report{
 		Leader: v.in.settings.Instance, Term: st.Term, Index: st.CommitIndex, Number: v.machine.View().Number,
-		Instances: coordinator.Instances(), Waiting: coordinator.WaitReasons(), Receipts: v.machine.Counts(),
+		Instances: coordinator.Instances(), Waiting: coordinator.WaitReasons(), Receipts: v.machine.Counts(), Limits: coordinator.Limits(),
 	}
 	r.Open, r.Settled = v.machine.Orders()
 	for _, m := range node.MemberStates() {
--- a/internal/cluster/permit/limits.go
+++ b/internal/cluster/permit/limits.go
@@ -1,48 +1,64 @@
-// Package permit keeps the requests that a target receives from all instances together within the
-// rate limit that the target names in its answers.
-//
-// The package holds no lock and reads no clock: the caller serializes access and passes the time.
 package permit
 
 import (
-	"cmp"
 	"slices"
+	"time"
 
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 )
 
-// Limit is the rate limit of one incarnation of a target.
-type Limit struct {
-	Target      ident.TargetID          `msgpack:"target"`
-	Incarnation ident.Incarnation       `msgpack:"incarnation"`
-	Rate        ident.RequestsPerSecond `msgpack:"rate"`
-}
-
-// Change is what a statement of a target changed.
-type Change uint8
-
-// The changes.
 const (
-	Unchanged Change = iota
-	Began            // the limit is new or has another rate
-	Ended            // the target has no limit any more
+	// failurePause is the time after which an instance asks again whose request got no reply.
+	failurePause = 250 * time.Millisecond
+	// minUnusedPause and maxUnusedPause bound the time for which an instance that left a permit
+	// unused leaves the permits to others. It doubles with each unused permit.
+	minUnusedPause = 250 * time.Millisecond
+	maxUnusedPause = 4 * time.Second
+	// endRetention is the time for which the end of a limit is kept after the allocator knows it,
+	// which is longer than any reply may be delayed.
+	endRetention = 5 * time.Second
 )
 
-// Limits holds the rate limits that one instance knows. Use NewLimits. It is not safe for concurrent
-// use.
+// Limits holds the limits that one instance knows and the permits that it has. Use NewLimits. It is
+// not safe for concurrent use.
 type Limits struct {
 	byTarget map[ident.TargetID]*limit
+	ends     map[ident.TargetID]*end
 }
 
 // limit is a Limit with what this instance knows of it.
 type limit struct {
 	Limit
 	learnedAt clock.Time // when this instance learned of the limit or of its rate
+	namedAt   clock.Time // when the target last named it to this instance; 0 if never
+	// run is the allocator that knows the limit, as of a request sent at knownAt; 0 if none is
+	// known to.
+	run     uint32
+	knownAt clock.Time
+
+	permits      []clock.Time // ends of the permits, ascending
+	used         int          // permits used since the last request
+	demand       int          // requests since the last request that might have used a permit
+	starved      int          // of these, requests for which no other target was usable
+	refusedUntil clock.Time   // as the allocator said, or because it did not reply
+	askedAt      clock.Time   // last request
+	pausedUntil  clock.Time   // because permits were not used
+	pause        time.Duration
+}
+
+// end is the end of a limit as this instance saw it.
+type end struct {
+	Limit
+	sentAt clock.Time // when the request was sent whose answer named no limit
+	// knownAt is when the request was sent by which the allocator knows it; 0 if none was yet.
+	knownAt clock.Time
 }
 
 // NewLimits returns an empty set of limits.
-func NewLimits() *Limits { return &Limits{byTarget: map[ident.TargetID]*limit{}} }
+func NewLimits() *Limits {
+	return &Limits{byTarget: map[ident.TargetID]*limit{}, ends: map[ident.TargetID]*end{}}
+}
 
 // Observe records the statement of an answer. The request was sent to the given incarnation of the
 // target at sentAt. A request that was sent before the limit was known cannot end it, because the
@@ -54,31 +70,300 @@
 	}
 	switch s := s.(type) {
 	case Named:
-		if known != nil && known.Incarnation == incarnation && known.Rate == s.Rate {
-			return Unchanged
+		if known == nil || known.Incarnation < incarnation {
+			known = l.add(now, Limit{Target: id, Incarnation: incarnation, Rate: s.Rate})
+			known.namedAt = now
+			return Began
 		}
-		l.byTarget[id] = &limit{Limit: Limit{Target: id, Incarnation: incarnation, Rate: s.Rate}, learnedAt: now}
-		return Began
+		known.namedAt = now
+		return known.setRate(now, s.Rate)
 	case NotNamed:
-		if known == nil || !sentAt.After(known.learnedAt) {
+		if known == nil || known.Incarnation < incarnation || !sentAt.After(known.learnedAt) {
 			return Unchanged
 		}
 		delete(l.byTarget, id)
+		l.ends[id] = &end{Limit: known.Limit, sentAt: sentAt}
 		return Ended
 	default:
 		return Unchanged
 	}
 }
 
+func (l *Limits) add(now clock.Time, known Limit) *limit {
+	added := &limit{Limit: known, learnedAt: now}
+	l.byTarget[known.Target] = added
+	delete(l.ends, known.Target)
+	return added
+}
+
+func (k *limit) setRate(now clock.Time, rate ident.RequestsPerSecond) Change {
+	if k.Rate == rate {
+		return Unchanged
+	}
+	k.Rate, k.learnedAt, k.run = rate, now, 0
+	return Began
+}
+
+// Limited reports whether the target has a known limit.
+func (l *Limits) Limited(id ident.TargetID) bool { return l.byTarget[id] != nil }
+
+// Rate returns the rate limit of a target, and false if it has none.
+func (l *Limits) Rate(id ident.TargetID) (ident.RequestsPerSecond, bool) {
+	known := l.byTarget[id]
+	if known == nil {
+		return 0, false
+	}
+	return known.Rate, true
+}
+
+// Available reports whether the target may get a request now: it has no known limit, or there is a
+// permit.
+func (l *Limits) Available(now clock.Time, id ident.TargetID) bool {
+	known := l.byTarget[id]
+	if known == nil {
+		return true
+	}
+	known.dropExpired(now)
+	return len(known.permits) > 0
+}
+
+// dropExpired drops the permits that are no longer valid.
+func (k *limit) dropExpired(now clock.Time) {
+	for len(k.permits) > 0 && !now.Before(k.permits[0]) {
+		k.pause = min(max(2*k.pause, minUnusedPause), maxUnusedPause)
+		k.pausedUntil = k.permits[0].Add(k.pause)
+		k.permits = k.permits[1:]
+	}
+}
+
+// Permit is a permit that was taken, for Return.
+type Permit struct {
+	target      ident.TargetID
+	incarnation ident.Incarnation
+	ends        clock.Time // 0 if none was needed
+}
+
+// Take takes a permit for one request. It returns false if the target has a limit and there is no
+// permit.
+func (l *Limits) Take(now clock.Time, id ident.TargetID) (Permit, bool) {
+	if !l.Available(now, id) {
+		return Permit{}, false
+	}
+	known := l.byTarget[id]
+	if known == nil {
+		return Permit{}, true
+	}
+	taken := Permit{id, known.Incarnation, known.permits[0]}
+	known.permits = known.permits[1:]
+	known.used++
+	known.pause, known.pausedUntil = 0, 0
+	return taken, true
+}
+
+// Return gives back a permit whose request was not sent. It returns the target, and false if the
+// permit is of no more use.
+func (l *Limits) Return(now clock.Time, p Permit) (ident.TargetID, bool) {
+	known := l.byTarget[p.target]
+	if known == nil || known.Incarnation != p.incarnation || !now.Before(p.ends) {
+		return "", false
+	}
+	i, _ := slices.BinarySearch(known.permits, p.ends)
+	known.permits = slices.Insert(known.permits, i, p.ends)
+	known.used = max(0, known.used-1)
+	return p.target, true
+}
+
+// Demand records a request that might have used a permit for the target, and whether no other
+// target was usable for it. It reports whether a request for permits is due.
+func (l *Limits) Demand(now clock.Time, id ident.TargetID, starved bool) bool {
+	known := l.byTarget[id]
+	if known == nil {
+		return false
+	}
+	known.demand++
+	if starved {
+		known.starved++
+	}
+	return known.wanted(now) > 0
+}
+
+// wanted returns the permits to ask for now.
+func (k *limit) wanted(now clock.Time) int {
+	k.dropExpired(now)
+	if len(k.permits) > 0 || now.Before(k.refusedUntil) {
+		return 0
+	}
+	usable := min(k.demand, 2*k.used+1) // as far as permits have been of use
+	if now.Before(k.pausedUntil) || now.Sub(k.askedAt) < askInterval {
+		usable = 0
+	}
+	return min(max(k.starved, usable), maxWanted)
+}
+
+// RetryAfter returns the time after which a permit for the target may be had, and false if it has
+// no known limit.
+func (l *Limits) RetryAfter(now clock.Time, id ident.TargetID) (time.Duration, bool) {
+	known := l.byTarget[id]
+	if known == nil {
+		return 0, false
+	}
+	return max(0, known.refusedUntil.Sub(now)), true
+}
+
+// Unreported reports whether there is a limit or an end that the allocator is not known to know.
+func (l *Limits) Unreported() bool {
+	for _, known := range l.byTarget {
+		if known.run == 0 {
+			return true
+		}
+	}
+	for _, e := range l.ends {
+		if e.knownAt == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Request returns the request for permits that is due now, and false if none is.
+func (l *Limits) Request(now clock.Time) (Request, bool) {
+	var r Request
+	for _, known := range l.byTarget {
+		wanted := known.wanted(now)
+		if known.run != 0 && wanted == 0 {
+			continue
+		}
+		at := known.learnedAt
+		if known.namedAt != 0 {
+			at = known.namedAt
+		}
+		r.Observations = append(r.Observations, Observation{Limit: known.Limit, Age: now.Sub(at), Wanted: wanted})
+		if wanted > 0 {
+			known.demand, known.starved, known.used, known.askedAt = 0, 0, 0, now
+		}
+	}
+	for id, e := range l.ends {
+		switch {
+		case e.knownAt == 0:
+			r.Observations = append(r.Observations, Observation{Limit: e.Limit, Age: now.Sub(e.sentAt), Ended: true})
+		case now.Sub(e.knownAt) > endRetention:
+			delete(l.ends, id)
+		}
+	}
+	slices.SortFunc(r.Observations, func(a, b Observation) int { return compareLimits(a.Limit, b.Limit) })
+	return r, len(r.Observations) > 0
+}
+
+// Apply applies the reply to a request that was sent at requestedAt.
+func (l *Limits) Apply(now, requestedAt clock.Time, r Request, reply Reply, current func(ident.TargetID) ident.Incarnation) []ChangedLimit {
+	for _, o := range r.Observations {
+		if e := l.ends[o.Limit.Target]; o.Ended && e != nil && e.Incarnation == o.Limit.Incarnation {
+			e.knownAt = requestedAt
+		}
+		if known := l.byTarget[o.Limit.Target]; !o.Ended && known != nil && known.Limit == o.Limit {
+			known.run, known.knownAt = reply.Known.Run, requestedAt
+		}
+	}
+	for _, g := range reply.Grants {
+		l.addGrant(now, requestedAt, g)
+	}
+	return l.Merge(now, requestedAt, reply.Known, current)
+}
+
+func (l *Limits) addGrant(now, requestedAt clock.Time, g Grant) {
+	known := l.byTarget[g.Target]
+	if known == nil {
+		return
+	}
+	known.refusedUntil = now.Add(min(max(g.RetryAfter, 0), maxRetryAfter))
+	ends := requestedAt.Add(PermitTime)
+	for range min(g.Count, maxWanted) {
+		known.permits = append(known.permits, ends)
+	}
+	slices.Sort(known.permits)
+}
+
+// Failed records that the request sent at requestedAt got no reply.
+func (l *Limits) Failed(now clock.Time, r Request) {
+	for _, o := range r.Observations {
+		if known := l.byTarget[o.Limit.Target]; known != nil && o.Wanted > 0 {
+			known.refusedUntil = now.Add(failurePause)
+		}
+	}
+}
+
+// Merge applies a snapshot from a reply to a request that was sent at requestedAt. current returns
+// the incarnation of a target, or 0 if the target is unknown. It returns what changed.
+func (l *Limits) Merge(now, requestedAt clock.Time, s Snapshot, current func(ident.TargetID) ident.Incarnation) []ChangedLimit {
+	if s.Run == 0 {
+		return nil
+	}
+	var changed []ChangedLimit
+	listed := map[ident.TargetID]bool{}
+	for _, listedLimit := range s.Limits {
+		listed[listedLimit.Target] = true
+		if c := l.mergeLimit(now, requestedAt, s.Run, listedLimit, current); c != Unchanged {
+			changed = append(changed, ChangedLimit{listedLimit, c})
+		}
+	}
+	for id, known := range l.byTarget {
+		if listed[id] {
+			continue
+		}
+		switch {
+		case known.run != s.Run || known.namedAt.After(requestedAt):
+			known.run = 0 // to be reported
+		case !requestedAt.Before(known.knownAt):
+			delete(l.byTarget, id)
+			changed = append(changed, ChangedLimit{known.Limit, Ended})
+		}
+	}
+	return changed
+}
+
+// mergeLimit applies one limit of a snapshot.
+func (l *Limits) mergeLimit(now, requestedAt clock.Time, run uint32, listed Limit, current func(ident.TargetID) ident.Incarnation) Change {
+	if listed.Incarnation < current(listed.Target) {
+		return Unchanged
+	}
+	if e := l.ends[listed.Target]; e != nil && e.Incarnation >= listed.Incarnation && (e.knownAt == 0 || requestedAt.Before(e.knownAt)) {
+		return Unchanged // the allocator did not know the end yet
+	}
+	known := l.byTarget[listed.Target]
+	change := Unchanged
+	switch {
+	case known != nil && known.Incarnation > listed.Incarnation:
+		return Unchanged
+	case known == nil || known.Incarnation < listed.Incarnation:
+		known = l.add(now, listed)
+		change = Began
+	case known.Rate != listed.Rate && known.namedAt.After(requestedAt):
+		return Unchanged // this instance knows better, and reports it
+	default:
+		change = known.setRate(now, listed.Rate)
+	}
+	known.run, known.knownAt = run, max(known.knownAt, requestedAt)
+	return change
+}
+
 // Forget removes the limits of the target's incarnations before the given one.
 func (l *Limits) Forget(id ident.TargetID, incarnation ident.Incarnation) {
 	if known := l.byTarget[id]; known != nil && known.Incarnation < incarnation {
 		delete(l.byTarget, id)
 	}
+	if e := l.ends[id]; e != nil && e.Incarnation < incarnation {
+		delete(l.ends, id)
+	}
 }
 
-// Limited reports whether the target has a known limit.
-func (l *Limits) Limited(id ident.TargetID) bool { return l.byTarget[id] != nil }
+// Targets returns the targets with a known limit, in no particular order.
+func (l *Limits) Targets() []ident.TargetID {
+	targets := make([]ident.TargetID, 0, len(l.byTarget))
+	for id := range l.byTarget {
+		targets = append(targets, id)
+	}
+	return targets
+}
 
 // List returns the known limits, sorted by target.
 func (l *Limits) List() []Limit {
@@ -86,6 +371,6 @@
 	for _, known := range l.byTarget {
 		list = append(list, known.Limit)
 	}
-	slices.SortFunc(list, func(a, b Limit) int { return cmp.Compare(a.Target, b.Target) })
+	slices.SortFunc(list, compareLimits)
 	return list
 }
--- a/internal/cluster/permit/statement.go
+++ b/internal/cluster/permit/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http"
 	"strconv"
 	"strings"
 
@@ -23,9 +24,13 @@
 func (NotNamed) statement() {}
 
 // ParseStatement parses the values of the header in which a target names its rate limit, a decimal
-// number of requests per second. An answer without the header states that there is no limit. The
-// error, of kind fault.FrameInvalid, means that the answer says nothing usable.
-func ParseStatement(values []string) (Statement, error) {
+// number of requests per second. A successful answer without the header states that there is no
+// limit; a failure without it says nothing. The error, of kind fault.FrameInvalid, means that the
+// header cannot be read, so that the answer says nothing either.
+func ParseStatement(status int, values []string) (Statement, error) {
+	if len(values) == 0 && status >= http.StatusMultipleChoices {
+		return nil, nil
+	}
 	if len(values) == 0 {
 		return NotNamed{}, nil
 	}
--- a/leader/coordinator.go
+++ b/leader/coordinator.go
@@ -15,6 +15,7 @@
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/feed"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/inflight"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
 	"github.com/hickoryridge/hickoryridge/internal/task"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/quorum"
@@ -63,6 +64,7 @@
 	leases       *Leases
 	loadTotals   *inflight.Sums
 	placements   *feed.Log[peer.Placement]
+	permits      *permit.Allocator
 	plans        *rolePlans
 	work         *engineWork
 	sentAt       map[ident.OrderID]clock.Time   // last send by this leader; zero before it
@@ -74,7 +76,7 @@
 // NewCoordinator returns a coordinator that does nothing until Start is called.
 func NewCoordinator(cfg Config) *Coordinator {
 	return &Coordinator{
-		cfg: cfg, leases: NewLeases(), loadTotals: inflight.New(), placements: newPlacementLog(), plans: newRolePlans(), work: newEngineWork(), sentAt: map[ident.OrderID]clock.Time{},
+		cfg: cfg, leases: NewLeases(), loadTotals: inflight.New(), placements: newPlacementLog(), permits: newAllocator(), plans: newRolePlans(), work: newEngineWork(), sentAt: map[ident.OrderID]clock.Time{},
 		refused: map[ident.OrderID]bool{}, waitReasons: map[ident.OrderID]string{},
 	}
 }
@@ -88,6 +90,9 @@
 	g.Go("leader orders", func(ctx context.Context) error {
 		return task.Every(ctx, orderInterval, co.whileActive(co.advanceOrders))
 	})
+	g.Go("leader limits", func(ctx context.Context) error {
+		return task.Every(ctx, sweepInterval, co.whileActive(co.dropStaleLimits))
+	})
 	g.Go("leader roles", func(ctx context.Context) error { return task.Every(ctx, planInterval, co.whileActive(co.planOrders)) })
 }
 
@@ -140,6 +145,7 @@
 		co.leases.Begin(now, co.cfg.Node.Status().FirstLeadership)
 		co.loadTotals = inflight.New()
 		co.placements = newPlacementLog()
+		co.permits = newAllocator()
 		co.plans = newRolePlans()
 		co.work = newEngineWork()
 		clear(co.sentAt)
@@ -194,7 +200,7 @@
 		return nil, fault.New(fault.NotLeader, "this instance is not the leader")
 	}
 	v := co.cfg.Machine.View()
-	g := &peer.Grant{Duration: LeaseDuration, Version: v.Version, Claims: co.claims[req.Boot], Holders: co.leases.Holders(clock.Now())}
+	g := &peer.Grant{Duration: LeaseDuration, Version: v.Version, Claims: co.claims[req.Boot], Holders: co.leases.Holders(clock.Now()), Limits: co.permits.Snapshot()}
 	if v.Version > req.Version {
 		g.View = &v
 	}
@@ -214,7 +220,7 @@
 	co.loadTotals.Put(now, share.Instance, share.Loads)
 	co.placements.Append(share.Placed...)
 	placed, next := co.placements.Since(share.Since)
-	return &peer.Sum{Loads: co.loadTotals.Total(now, minReportedQueue), Placed: placed, Next: next}
+	return &peer.Sum{Loads: co.loadTotals.Total(now, minReportedQueue), Placed: placed, Next: next, Limits: co.permits.Snapshot()}
 }
 
 // ExchangeFailures records which targets failed requests of an instance and returns the targets
@@ -224,7 +230,7 @@
 	defer co.mu.Unlock()
 	now := clock.Now()
 	co.loadTotals.Put(now, f.Instance, f.Loads)
-	return &peer.Sum{Loads: co.loadTotals.Failing(now)}
+	return &peer.Sum{Loads: co.loadTotals.Failing(now), Limits: co.permits.Snapshot()}
 }
 
 // newPlacementLog returns an empty placement log. Its random run number lets instances notice a
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -76,5 +76,8 @@
 // Count increments a counter that has no labels.
 func (m *Metrics) Count(name string) { m.scope.Counter(name).Inc(1) }
 
+// CountBy adds n to a counter that has no labels.
+func (m *Metrics) CountBy(name string, n int) { m.scope.Counter(name).Inc(int64(n)) }
+
 // Gauge sets a gauge that has no labels.
 func (m *Metrics) Gauge(name string, v float64) { m.scope.Gauge(name).Update(v) }
--- a/peer/message.go
+++ b/peer/message.go
@@ -7,6 +7,7 @@
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/feed"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/inflight"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
 	"github.com/hickoryridge/hickoryridge/quorum"
 	"github.com/hickoryridge/hickoryridge/router"
@@ -47,6 +48,8 @@
 	kindLocated
 	kindFailing
 	kindWorks
+	kindAcquire
+	kindAcquired
 	kindCount // number of kinds, including the unused 0
 )
 
@@ -123,6 +126,9 @@
 	Claims   []state.Claim `msgpack:"claims"`         // long-open receipts of the instance's run
 	Roster   *Roster       `msgpack:"roster"`         // set if it differs from the instance's
 	Holders  int           `msgpack:"holders"`        // instances that hold a lease
+	// Limits are the rate limits that targets have named, so that the instance keeps them before it
+	// serves.
+	Limits permit.Snapshot `msgpack:"limits"`
 }
 
 // Roster is the membership of the quorum, for instances that need to find the leader.
@@ -231,6 +237,8 @@
 	Loads  inflight.Loads `msgpack:"loads"`
 	Placed []Placement    `msgpack:"placed"` // placements of all instances since the Share's cursor
 	Next   feed.Cursor    `msgpack:"next"`
+	// Limits are the rate limits that targets have named.
+	Limits permit.Snapshot `msgpack:"limits"`
 }
 
 func (*Share) kind() kind    { return kindShare }
@@ -320,6 +328,10 @@
 		return &Failing{}
 	case kindWorks:
 		return &Works{}
+	case kindAcquire:
+		return &Acquire{}
+	case kindAcquired:
+		return &Acquired{}
 	default:
 		return nil
 	}
--- a/peer/placing.go
+++ b/peer/placing.go
@@ -44,6 +44,12 @@
 	// RetryAfter is the delay after which a refused request should be retried; 0 if it was placed. A
 	// refusal sets only ExpectedTTFT besides.
 	RetryAfter time.Duration `msgpack:"back"`
+	// Permitted means that the target has a rate limit and that the placer used a permit for the
+	// request.
+	Permitted bool `msgpack:"permitted"`
+	// Limited means that no target is named because all have rate limits and the placer has no
+	// permits.
+	Limited bool `msgpack:"limited"`
 }
 
 // Progress reports events of placements to their placer. It has no reply.
@@ -57,6 +63,8 @@
 	Event   NoteEvent `msgpack:"event"`
 	Running int       `msgpack:"running"` // requests at the target, as it reports; for NoteLoad
 	Slots   int       `msgpack:"slots"`   // request slots at the target; for NoteLoad
+	// Rate is the rate limit that the target named; for NoteLimited.
+	Rate *ident.RequestsPerSecond `msgpack:"rate"`
 }
 
 // NoteEvent is the kind of a Note.
@@ -75,6 +83,10 @@
 	// NoteITLMissed: a gap between tokens exceeded the inter-token latency objective.
 	NoteITLMissed
 	NoteITLMet // no gap between tokens exceeded the objective
+	// NoteLimited: the target named a rate limit in its answer, or had named one to the instance
+	// before.
+	NoteLimited
+	NoteUnlimited // the target named no rate limit in its answer
 )
 
 // Locate requests the region of an instance.
--- a/router/cost.go
+++ b/router/cost.go
@@ -81,7 +81,7 @@
 
 // accepts reports whether a target can take the request.
 func (s *slot) accepts(i int32, q *query) bool {
-	if s.service != q.service || !s.usable || s.stages&(1<<q.stage) == 0 || i == q.avoid {
+	if s.service != q.service || !s.usable || s.access == Exhausted || s.stages&(1<<q.stage) == 0 || i == q.avoid {
 		return false
 	}
 	return q.version == 0 || s.version == 0 || s.version == q.version
--- a/router/group.go
+++ b/router/group.go
@@ -20,7 +20,7 @@
 	// baseCosts is the least base cost among the targets that accept a stage, in seconds.
 	baseCosts [stageCount][urgencyLevels]float64
 	// tokenTime is the least token time, in seconds, or 0 if a position below the node is empty
-	// or its target is not usable.
+	// or its target may receive no request.
 	tokenTime float64
 }
 
@@ -37,7 +37,7 @@
 // bound returns the bound of a single target.
 func (s *slot) bound() bound {
 	b := emptyBound
-	if !s.usable {
+	if !s.usable || s.access == Exhausted {
 		return b
 	}
 	b.tokenTime = s.tokenTime
--- a/router/home.go
+++ b/router/home.go
@@ -18,14 +18,14 @@
 // more than other requests gain by finding the prefix there, the request goes elsewhere, and that
 // location is shared with the other instances like any other.
 
-// listHomeCandidates lists the usable engines of each service.
+// listHomeCandidates lists the usable engines of each service that have no rate limit.
 func (r *Router) listHomeCandidates() {
 	if !r.cfg.HomeEngines {
 		return
 	}
 	clear(r.homeCandidates)
 	for i := range r.slots {
-		if r.usableEngine(int32(i)) {
+		if r.usableEngine(int32(i)) && r.slots[i].access == Unlimited {
 			r.homeCandidates[r.slots[i].service] = append(r.homeCandidates[r.slots[i].service], int32(i))
 		}
 	}
--- a/router/reserve.go
+++ b/router/reserve.go
@@ -29,7 +29,7 @@
 	count := map[int32]int{}
 	for i := range r.slots {
 		s, d := &r.slots[i], &r.details[i]
-		if !d.inUse || !s.usable || d.target.Role != desired.RolePrefill {
+		if !d.inUse || !s.usable || s.access != Unlimited || d.target.Role != desired.RolePrefill {
 			continue
 		}
 		count[s.service]++
--- a/router/router.go
+++ b/router/router.go
@@ -175,7 +175,7 @@
 	runningByService []serviceRunning  // indexed by service
 	reservedEngines  map[int32]int32   // the engine reserved for short prompts, by service
 	enginesChanged   bool              // reservedEngines and homeCandidates are out of date
-	homeCandidates   map[int32][]int32 // usable engines of each service
+	homeCandidates   map[int32][]int32 // usable engines without a rate limit, by service
 	prefixes         *prefixIndex
 	turnovers        map[ident.ServiceID]*turnover
 	interference     interferencePrices
--- a/router/slots.go
+++ b/router/slots.go
@@ -17,6 +17,7 @@
 	position  int32 // in the group's tree
 	stages    uint8 // bit set of the stages that the target accepts
 	usable    bool
+	access    Access
 	cross     bool    // in another region
 	tokenTime float64 // seconds to process a prompt token
 	// baseCosts is the cost of a request without its own prompt, in seconds, by urgency level.
@@ -137,6 +138,36 @@
 	}
 }
 
+// Access says whether a usable target with a rate limit may receive a request now.
+type Access uint8
+
+// The values of Access.
+const (
+	Unlimited Access = iota // the target has no rate limit
+	Permitted               // the target has a rate limit, and there is a permit for a request
+	Exhausted               // the target has a rate limit, and there is no permit
+)
+
+// SetAccess sets whether a target with a rate limit may receive a request now. Targets with a rate
+// limit are no home of shared prompts, since the home of a prompt receives all requests for it.
+func (r *Router) SetAccess(id ident.TargetID, access Access) {
+	i, ok := r.byID[id]
+	if !ok || r.slots[i].access == access {
+		return
+	}
+	if r.slots[i].access == Unlimited || access == Unlimited {
+		r.enginesChanged = true
+	}
+	r.slots[i].access = access
+	r.updateBound(i)
+}
+
+// Accepts reports whether a target accepts the stage of a request, with or without a permit.
+func (r *Router) Accepts(id ident.TargetID, stage Stage) bool {
+	i, ok := r.byID[id]
+	return ok && r.slots[i].usable && r.slots[i].stages&(1<<stage) != 0
+}
+
 // Restarted discards the state that a new incarnation of a target does not have.
 func (r *Router) Restarted(id ident.TargetID) {
 	i, ok := r.byID[id]
