targets: engines and plain services of our own protocol name rate limits too

Change: Max-Request-Rate in an answer; chat and plain requests use the same permits. Stand-ins name a limit (POST /limit) and record what arrives. internal/limittest states the bound once for all tests.

--- a/dispatch/chat.go
+++ b/dispatch/chat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -186,16 +187,18 @@
 	return assigned, nil
 }
 
-func (r *chatRun) call() engine.Call {
+func (r *chatRun) call(a *Assignment) engine.Call {
+	id := r.d.newAttemptID()
 	return engine.Call{
-		Attempt: r.d.newAttemptID(), Request: r.chat.Request, Adapter: r.chat.Adapter,
+		Attempt: id, Head: func(status int, h http.Header) { r.d.recordHead(a, string(id), status, h) }, Request: r.chat.Request, Adapter: r.chat.Adapter,
 		Priority: r.priority, Prefix: r.answer.Text(), Offset: r.answer.Tokens(),
 	}
 }
 
 func (r *chatRun) prefill(ctx context.Context, assigned *Assignment) (*engine.KVHandle, error) {
 	defer assigned.Finish()
-	h, err := r.d.cfg.Engines.Prefill(ctx, assigned.Address, r.call())
+	r.d.recordSent(assigned)
+	h, err := r.d.cfg.Engines.Prefill(ctx, assigned.Address, r.call(assigned))
 	if err != nil {
 		r.recordFailure(ctx, assigned, err)
 		return nil, err
@@ -213,7 +216,8 @@
 }
 
 func (r *chatRun) stream(ctx context.Context, assigned *Assignment, kvHandle *engine.KVHandle) error {
-	call := r.call()
+	r.d.recordSent(assigned)
+	call := r.call(assigned)
 	call.Import = kvHandle
 	err := r.d.cfg.Engines.Stream(ctx, assigned.Address, call, &r.answer, func(text string) error {
 		assigned.FirstToken()
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -305,14 +305,14 @@
 
 func (r *forwardRun) prefill(ctx context.Context, a *Assignment) (*KVCacheRef, Outcome) {
 	defer a.Finish()
-	r.countLimited(a)
+	r.d.recordSent(a)
 	cache, outcome := r.d.cfg.Backend.Prefill(ctx, r.call(a))
 	if cache != nil {
 		a.FirstToken()
 		a.ReportAnswer(false)
 	}
 	if answered, ok := outcome.(Answered); ok {
-		r.recordLimit(a, answered.Limit)
+		r.d.recordLimit(a, r.req.ID, answered.Limit)
 	}
 	return cache, outcome
 }
@@ -331,7 +331,7 @@
 // runAt runs the request at a target and relays its answer.
 func (r *forwardRun) runAt(ctx context.Context, a *Assignment, cache *KVCacheRef) (retry bool, err error) {
 	defer a.Finish()
-	r.countLimited(a)
+	r.d.recordSent(a)
 	call := r.call(a)
 	call.Import = cache
 	outcome := r.d.cfg.Backend.Run(ctx, call)
@@ -346,7 +346,7 @@
 	if answered.Load != nil {
 		a.ReportLoad(*answered.Load)
 	}
-	r.recordLimit(a, answered.Limit)
+	r.d.recordLimit(a, r.req.ID, answered.Limit)
 	if r.headerSent && answered.Status >= http.StatusMultipleChoices {
 		return r.handleTruncated(ctx, a, fault.New(fault.TargetFailed, "status %d instead of the rest of the answer", answered.Status))
 	}
@@ -383,7 +383,7 @@
 	if o.Load != nil {
 		a.ReportLoad(*o.Load)
 	}
-	r.recordLimit(a, o.Limit)
+	r.d.recordLimit(a, r.req.ID, o.Limit)
 	switch o.Reason {
 	case Unreachable:
 		r.unreached++
--- a/dispatch/limiting.go
+++ b/dispatch/limiting.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,6 +14,7 @@
 	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/router"
+	"github.com/hickoryridge/hickoryridge/target"
 )
 
 // Load pattern: a target in need names the rate of requests that it takes from all instances
@@ -318,25 +320,34 @@
 	return append(changed, permit.ChangedLimit{Limit: l, Change: change})
 }
 
-// countLimited counts a request that is sent to a target with a known rate limit.
-func (r *forwardRun) countLimited(a *Assignment) {
+// recordSent counts a request that is sent to a target with a known rate limit.
+func (d *Dispatcher) recordSent(a *Assignment) {
 	if a.limited {
-		r.d.cfg.Metrics.Count("sent_to_limited")
+		d.cfg.Metrics.Count("sent_to_limited")
 	}
 }
 
-// recordLimit records what an answer to the request states about the target's rate limit.
-func (r *forwardRun) recordLimit(a *Assignment, s permit.Statement) {
+// recordHead records what the head of an answer states about the target's rate limit.
+func (d *Dispatcher) recordHead(a *Assignment, request string, status int, h http.Header) {
+	s, err := permit.ParseStatement(status, h.Values(target.HeaderRequestRate))
+	if err != nil {
+		d.cfg.Log.WithFields(logrus.Fields{"event": "limit_invalid", "target": a.Choice.ID, "request": request, "cause": err}).Warn("rate limit in an answer cannot be read; the answer changes no limit")
+	}
+	d.recordLimit(a, request, s)
+}
+
+// recordLimit records what an answer states about the target's rate limit.
+func (d *Dispatcher) recordLimit(a *Assignment, request string, s permit.Statement) {
 	fields := logrus.Fields{
-		"target": a.Choice.ID, "incarnation": a.incarnation, "request": r.req.ID, "service": r.req.Service, "prompt": a.PrefillOnly,
-		"ms": clock.Now().Sub(a.sentAt).Milliseconds(),
+		"target": a.Choice.ID, "incarnation": a.incarnation, "source": "answer", "request": request, "service": a.req.Service,
+		"prompt": a.PrefillOnly, "ms": clock.Now().Sub(a.sentAt).Milliseconds(),
 	}
 	switch a.ReportLimit(s) {
 	case permit.Began:
 		fields["event"], fields["rate"] = "limit_named", float64(s.(permit.Named).Rate)
-		r.d.cfg.Log.WithFields(fields).Info("target named a rate limit")
+		d.cfg.Log.WithFields(fields).Info("target named a rate limit")
 	case permit.Ended:
 		fields["event"] = "limit_ended"
-		r.d.cfg.Log.WithFields(fields).Info("target no longer names a rate limit")
+		d.cfg.Log.WithFields(fields).Info("target no longer names a rate limit")
 	}
 }
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -106,13 +106,23 @@
 		return nil, "", err
 	}
 	defer assigned.Finish()
+	d.recordSent(assigned)
 	answer, err := d.cfg.Plain.SendOnce(ctx, assigned.Address, p.Request, beforeSend)
+	d.recordPlain(assigned, p, answer)
 	if fault.Is(err, fault.NoTarget) {
 		assigned.MarkFailed()
 	}
 	return answer, assigned.Choice.ID, err
 }
 
+// recordPlain records what an answer states about the target's rate limit. The answer is nil if there
+// was none.
+func (d *Dispatcher) recordPlain(a *Assignment, p PlainRequest, answer *plain.Response) {
+	if answer != nil {
+		d.recordHead(a, p.Request.Method+" "+p.MatchPath, answer.Status, answer.Header)
+	}
+}
+
 func (d *Dispatcher) runWithReceipt(ctx context.Context, p PlainRequest, key ident.IdempotencyKey, keyTime state.UnixMillis) (*PlainResponse, error) {
 	open := state.OpenReceipt{
 		ID:      state.ReceiptID{Tenant: p.Info.Tenant.Name, Service: p.Service.Name, Key: key},
@@ -167,7 +177,9 @@
 		return nil, "", err
 	}
 	defer assigned.Finish()
+	d.recordSent(assigned)
 	answer, err := d.cfg.Plain.SendIdempotent(ctx, assigned.Address, p.Request)
+	d.recordPlain(assigned, p, answer)
 	if fault.Is(err, fault.TargetFailed) {
 		assigned.MarkFailed()
 	}
--- a/engine/chat.go
+++ b/engine/chat.go
@@ -10,6 +10,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"strings"
 
 	"github.com/hickoryridge/hickoryridge/fault"
@@ -96,6 +97,8 @@
 	Offset   int       // number of tokens in Prefix
 	Import   *KVHandle // KV cache to import; nil if there is none
 	Export   bool      // process the prompt only, and export its KV cache
+	// Head is called with the status and the headers of the response; it may be nil.
+	Head func(status int, h http.Header)
 }
 
 // wireRequest is the JSON form of a Call.
--- a/engine/client.go
+++ b/engine/client.go
@@ -69,6 +69,9 @@
 	if err != nil {
 		return nil, fault.New(fault.TargetFailed, "engine %s: %v", addr, err)
 	}
+	if call.Head != nil {
+		call.Head(resp.StatusCode, resp.Header)
+	}
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
 	}
--- a/internal/cluster/permit/model_test.go
+++ b/internal/cluster/permit/model_test.go
@@ -9,17 +9,7 @@
 
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
-)
-
-// The stated target for a limited target: from limitSettle after it first named its limit, no window
-// of limitWindow has more than limitFactor times what the limit allows plus limitSlack requests of
-// instances that had seen an answer with the limit for at least toldTime.
-const (
-	limitSettle = 4 * time.Second
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitSlack  = 5
-	toldTime    = 500 * time.Millisecond
+	"github.com/hickoryridge/hickoryridge/internal/limittest"
 )
 
 // model simulates instances that send requests of one service to limited targets and to others, an
@@ -273,7 +263,7 @@
 	sentAt, incarnation := m.now, in.known[t.id]
 	m.after(m.latency(), func() {
 		told, isTold := in.told[t.id]
-		t.arrivals = append(t.arrivals, modelArrival{m.now, isTold && m.now.Sub(told) >= toldTime})
+		t.arrivals = append(t.arrivals, modelArrival{m.now, isTold && m.now.Sub(told) >= limittest.Told})
 		m.after(time.Duration(20+m.rng.IntN(400))*time.Millisecond, func() {
 			if t.incarnation != incarnation {
 				return // the connection broke
@@ -399,14 +389,14 @@
 }
 
 // check returns an error for the first window with more requests than allowed. The window counts
-// only if the target named limits from limitSettle before it to its end.
+// only if the target named limits from limittest.Settle before it to its end.
 func (t *modelTarget) check() error {
 	first := 0
 	for i, last := range t.arrivals {
-		for last.at.Sub(t.arrivals[first].at) > limitWindow {
+		for last.at.Sub(t.arrivals[first].at) > limittest.Window {
 			first++
 		}
-		rate, always := t.highestRate(t.arrivals[first].at.Add(-limitSettle), last.at)
+		rate, always := t.highestRate(t.arrivals[first].at.Add(-limittest.Settle), last.at)
 		if !always {
 			continue
 		}
@@ -416,8 +406,8 @@
 				n++
 			}
 		}
-		if allowed := int(limitFactor*float64(rate)*limitWindow.Seconds()) + limitSlack; n > allowed {
-			return fmt.Errorf("target %s with a limit of %.1f/s got %d requests in %v up to %v, at most %d allowed", t.id, rate, n, limitWindow, last.at.Sub(modelStart), allowed)
+		if allowed := limittest.Allowed(rate); n > allowed {
+			return fmt.Errorf("target %s with a limit of %.1f/s got %d requests in %v up to %v, at most %d allowed", t.id, rate, n, limittest.Window, last.at.Sub(modelStart), allowed)
 		}
 	}
 	return nil
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -50,6 +50,8 @@
 // Engine is a fake model engine that serves a Model over HTTP. It is safe for concurrent
 // use.
 type Engine struct {
+	Limit RateLimit
+
 	cfg         EngineConfig
 	incarnation ident.Incarnation
 	listener    net.Listener
@@ -90,7 +92,8 @@
 	}
 	e.state = engine.State{Incarnation: e.incarnation, Role: cfg.Role, Model: cfg.Model, Version: cfg.Version}
 	r := chi.NewRouter()
-	r.Post(engine.PathChat, e.handleChat)
+	r.With(e.Limit.wrap).Post(engine.PathChat, e.handleChat)
+	r.Post("/limit", e.Limit.handle)
 	r.Post(engine.PathOrder, e.handleOrder)
 	r.Get(engine.PathState, e.handleState)
 	r.Post("/v1/kv/{id}", e.handleKVFetch)
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -30,6 +30,8 @@
 // runs. It ignores idempotency keys, so that a request that is sent twice runs twice and a
 // test can detect it. It is safe for concurrent use.
 type Service struct {
+	Limit RateLimit
+
 	listener net.Listener
 	server   *http.Server
 
@@ -46,11 +48,13 @@
 	}
 	s := &Service{listener: l}
 	r := chi.NewRouter()
-	r.Post("/payments", s.handleRun)
-	r.Post("/bookings", s.handleRun)
-	r.Post("/claims", s.handleRun)
-	r.Get("/postage/{code}", s.handleLookup)
-	r.Get("/claims/{code}", s.handleLookup)
+	requests := r.With(s.Limit.wrap)
+	requests.Post("/payments", s.handleRun)
+	requests.Post("/bookings", s.handleRun)
+	requests.Post("/claims", s.handleRun)
+	requests.Get("/postage/{code}", s.handleLookup)
+	requests.Get("/claims/{code}", s.handleLookup)
+	r.Post("/limit", s.Limit.handle)
 	r.Get("/ran", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Runs()) })
 	r.Post("/fault", s.handleFault)
 	s.server = &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}
--- a/target/announce.go
+++ b/target/announce.go
@@ -20,6 +20,10 @@
 	"github.com/hickoryridge/hickoryridge/internal/strictjson"
 )
 
+// HeaderRequestRate is the header in which a target names, in an answer, the requests per second that
+// it takes from all instances together, as a decimal number.
+const HeaderRequestRate = "Max-Request-Rate"
+
 // Bounds of announcements.
 const (
 	// MaxLease is the longest lease that a target may request. It bounds the time
