admit: an instance that has started has no share of the retry slack for one window

An instance that starts remembers nothing, and while all start it is told that there are 1, 2, 3 others.

Change: the slack counts from one window after the start. Until then an instance retries in proportion to its requests only.

--- a/admit/retries.go
+++ b/admit/retries.go
@@ -10,7 +10,7 @@
 type RetryLimit struct {
 	Ratio  float64       // retries per request
 	Window time.Duration // length of the sliding window
-	Slack  int           // retries allowed in addition to the ratio
+	Slack  float64       // retries allowed in addition to the ratio
 }
 
 // windowSteps is the number of steps in which a window slides.
@@ -27,15 +27,21 @@
 // remaining targets. Each instance may therefore retry in proportion to its own requests and has an
 // equal share of the slack, so that the sum over the instances stays within the limit without
 // communication.
+//
+// An instance that has started does not know its retries before, and may be told too small a number
+// of instances while they all start. It has no share of the slack for the length of one window.
 type RetryLimiter struct {
 	limit    RetryLimit
+	started  clock.Time
 	step     int64            // newest step
 	requests [windowSteps]int // by step of the window
 	retries  [windowSteps]int
 }
 
-// NewRetryLimiter returns an instance's share of a limit.
-func NewRetryLimiter(l RetryLimit) *RetryLimiter { return &RetryLimiter{limit: l} }
+// NewRetryLimiter returns the share of a limit of an instance that started at the given time.
+func NewRetryLimiter(l RetryLimit, started clock.Time) *RetryLimiter {
+	return &RetryLimiter{limit: l, started: started}
+}
 
 // slide clears the steps that have left the window, and returns the index of the current step.
 func (r *RetryLimiter) slide(now clock.Time) int64 {
@@ -58,7 +64,11 @@
 		requests += r.requests[i]
 		retries += r.retries[i]
 	}
-	allowed := safetyFactor * (r.limit.Ratio*float64(requests) + float64(r.limit.Slack)/float64(max(1, n)))
+	slack := 0.0
+	if now.Sub(r.started) >= r.limit.Window {
+		slack = r.limit.Slack / float64(max(1, n))
+	}
+	allowed := safetyFactor * (r.limit.Ratio*float64(requests) + slack)
 	if float64(retries+1) > allowed {
 		return false
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -53,6 +53,7 @@
 	admission *admissionQueues
 	demand    *demandCounter
 	buffers   answerBuffers // answers that are read to their end before they are sent
+	started   clock.Time
 
 	mu            sync.Mutex
 	budgets       map[ident.ServiceID]*admit.RetryBudget
@@ -62,7 +63,7 @@
 
 // New returns a dispatcher. Its owner must run Run while the dispatcher is in use.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{cfg: cfg, admission: newAdmissionQueues(cfg.MaxRunning), demand: newDemandCounter(), budgets: map[ident.ServiceID]*admit.RetryBudget{}, retryLimiters: map[ident.ServiceID]*admit.RetryLimiter{}}
+	return &Dispatcher{cfg: cfg, started: clock.Now(), admission: newAdmissionQueues(cfg.MaxRunning), demand: newDemandCounter(), budgets: map[ident.ServiceID]*admit.RetryBudget{}, retryLimiters: map[ident.ServiceID]*admit.RetryLimiter{}}
 }
 
 // Run advances waiting requests and removes expired targets until ctx ends.
@@ -125,7 +126,7 @@
 func (d *Dispatcher) retryLimiter(s ident.ServiceID) *admit.RetryLimiter {
 	r := d.retryLimiters[s]
 	if r == nil {
-		r = admit.NewRetryLimiter(d.cfg.Retries)
+		r = admit.NewRetryLimiter(d.cfg.Retries, d.started)
 		d.retryLimiters[s] = r
 	}
 	return r
--- a/dispatch/forward_test.go
+++ b/dispatch/forward_test.go
@@ -251,7 +251,7 @@
 func TestSplitRejected(t *testing.T) {
 	cacheGone := NotRun{Reason: KVCacheGone, Err: errors.New("rejected")}
 	for name, test := range map[string]struct {
-		slack int
+		slack float64
 		calls int
 	}{
 		"budget for one more attempt": {3, 2},
@@ -262,6 +262,7 @@
 			b := &scriptedBackend{outcomes: []Outcome{cacheGone, cacheGone, cacheGone, cacheGone}}
 			d := newForwardDispatcher(t, b, desired.RolePrefill, desired.RolePrefill, desired.RoleMixed, desired.RoleMixed)
 			d.cfg.Retries = admit.RetryLimit{Ratio: 0, Window: 10 * time.Second, Slack: test.slack}
+			d.started = clock.Now().Add(-d.cfg.Retries.Window) // the slack counts after one window
 			f := newForwardRequest(desired.ForwardRule{Retry: desired.RetryResume, Stream: true, Attempts: 2})
 			f.Parts = []router.Part{{ID: "a", Tokens: 9000}, {ID: "b", Tokens: 900}}
 			_ = d.Forward(t.Context(), f, &recordingSink{}) // the recorded calls show the result
