--- a/instance/instance.go
+++ b/instance/instance.go
@@ -138,7 +138,7 @@
 		Instance: s.Instance, Boot: boot, Gate: in.gate, Targets: in.targetPool, Engines: in.engines,
 		Plain: in.plain, Backend: &platform.Backend{Client: in.targetClient, Log: in.log}, Receipts: in.receipts, Metrics: in.metrics, Log: in.log, MaxRunning: s.RunningLimit(),
 		Placement: in.placing(),
-		Retries:   admit.RetryLimit{Ratio: s.Retries.Ratio, Window: s.Retries.Window.AsDuration(), Slack: float64(s.Retries.Slack)},
+		Retries:   admit.RetryLimit{Ratio: s.Retries.Ratio, Window: s.Retries.Window.AsDuration(), Slack: s.Retries.Slack},
 	})
 	if !s.Voter() {
 		return in, nil
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -164,7 +164,7 @@
 	// Window is the length of the time window for the count: the ratio holds in every window of
 	// this length.
 	Window desired.Duration `json:"window,omitempty"`
-	Slack  int              `json:"slack,omitempty"` // retries allowed in addition to the ratio
+	Slack  float64          `json:"slack,omitempty"` // retries allowed in addition to the ratio
 }
 
 // Log configures logging.
--- a/settings/timing_test.go
+++ b/settings/timing_test.go
@@ -70,3 +70,13 @@
 		}
 	}
 }
+
+// TestFractionalSlack checks that the slack of the retry limit may be a fraction, as it is where a
+// large site is played at a share of its traffic.
+func TestFractionalSlack(t *testing.T) {
+	const text = `{"instance":"v","region":"r","domain":"d","control":"127.0.0.1:1","peer":"127.0.0.1:2","data":"x","seeds":["127.0.0.1:1"],"retries":{"ratio":0.2,"window":"10s","slack":35.9}}`
+	s, faults := ParseLenient([]byte(text))
+	if len(faults) > 0 || s.Retries.Slack != 35.9 {
+		t.Errorf("faults %v", faults)
+	}
+}
