limits: an upgrade from an earlier version breaks nothing

Cause, found by a test of both versions' messages: an array-encoded message with a field more is refused (msgpack: number of fields in array-encoded struct has changed), so an entry or voter of the version before would have dropped every grant, sum, placement and note of, and ended the connection on which a request for permits comes.

Off, or under an earlier leader, limits are observed and not kept.

--- a/dispatch/limiting.go
+++ b/dispatch/limiting.go
@@ -137,7 +137,7 @@
 // held.
 func (pool *TargetPool) access(now clock.Time, id ident.TargetID) router.Access {
 	switch {
-	case !pool.limits.Limited(id):
+	case !pool.limits.Limited(id) || !pool.limits.Kept():
 		return router.Unlimited
 	case pool.limits.Available(now, id):
 		return router.Permitted
@@ -198,8 +198,9 @@
 func (pool *TargetPool) ApplyPermits(now, requestedAt clock.Time, r permit.Request, reply permit.Reply) []permit.ChangedLimit {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	changed := pool.limits.Apply(now, requestedAt, r, reply, pool.incarnation)
-	pool.reviewLimits(now, changed)
+	changed := pool.changeLimits(now, func() []permit.ChangedLimit {
+		return pool.limits.Apply(now, requestedAt, r, reply, pool.incarnation)
+	})
 	for _, g := range reply.Grants {
 		pool.reviewTarget(now, g.Target)
 		heap.Push(&pool.deadlines, deadline{requestedAt.Add(permit.PermitTime), g.Target})
@@ -229,7 +230,20 @@
 func (pool *TargetPool) MergeLimits(now, requestedAt clock.Time, s permit.Snapshot) []permit.ChangedLimit {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	changed := pool.limits.Merge(now, requestedAt, s, pool.incarnation)
+	return pool.changeLimits(now, func() []permit.ChangedLimit {
+		return pool.limits.Merge(now, requestedAt, s, pool.incarnation)
+	})
+}
+
+// changeLimits applies what a leader sent and updates the router by it. pool.mu is held.
+func (pool *TargetPool) changeLimits(now clock.Time, apply func() []permit.ChangedLimit) []permit.ChangedLimit {
+	kept := pool.limits.Kept()
+	changed := apply()
+	if kept != pool.limits.Kept() {
+		for _, id := range pool.limits.Targets() {
+			pool.reviewTarget(now, id)
+		}
+	}
 	pool.reviewLimits(now, changed)
 	return changed
 }
@@ -268,19 +282,22 @@
 // ReportLimit records what the target's answer states about its rate limit, also for the placer
 // that chose the target, and returns what changed here.
 func (a *Assignment) ReportLimit(s permit.Statement) permit.Change {
-	a.notifyLimit(s)
 	pool := a.pool
 	pool.mu.Lock()
-	defer pool.mu.Unlock()
 	now := pool.now()
 	change := pool.limits.Observe(now, a.sentAt, a.Choice.ID, a.incarnation, s)
 	if change != permit.Unchanged {
 		pool.reviewLimits(now, []permit.ChangedLimit{{Limit: permit.Limit{Target: a.Choice.ID}, Change: change}})
 	}
+	kept := pool.limits.Kept()
+	pool.mu.Unlock()
+	if kept {
+		a.notifyLimit(s)
+	}
 	return change
 }
 
-// notifyLimit passes a statement on to the placer, if the placer has to know.
+// notifyLimit passes a statement on to the placer that chose the target, if the placer has to know.
 func (a *Assignment) notifyLimit(s permit.Statement) {
 	if a.notify == nil {
 		return
--- a/instance/voter.go
+++ b/instance/voter.go
@@ -142,7 +142,7 @@
 	}
 	coordinator := leader.NewCoordinator(leader.Config{
 		Node: node, Machine: v.machine, Engines: v.in.orderClient(), Timing: timing,
-		Stages: v.in.settings.Routing.Stages, Pause: v.in.settings.Timing.OrderInterval.AsDuration(),
+		Stages: v.in.settings.Routing.Stages, Permits: v.in.settings.Routing.Permits, Pause: v.in.settings.Timing.OrderInterval.AsDuration(),
 		Targets: v.in.targetPool.Records, Log: v.in.log,
 	})
 	node.Start(g)
--- a/internal/cluster/permit/allocator.go
+++ b/internal/cluster/permit/allocator.go
@@ -48,7 +48,7 @@
 }
 
 // NewAllocator returns an allocator without limits. The run must be different from that of any
-// other allocator, and not 0.
+// other allocator; instances ask nothing of one with run 0.
 func NewAllocator(run uint32) *Allocator {
 	return &Allocator{run: run, byTarget: map[ident.TargetID]*bucket{}}
 }
--- a/internal/cluster/permit/limits.go
+++ b/internal/cluster/permit/limits.go
@@ -25,6 +25,10 @@
 type Limits struct {
 	byTarget map[ident.TargetID]*limit
 	ends     map[ident.TargetID]*end
+	// granting is set while the leader grants permits. A leader of an earlier version sends no
+	// snapshots and ends the connection on which it gets a Request, so limits are then only
+	// observed.
+	granting bool
 }
 
 // limit is a Limit with what this instance knows of it.
@@ -104,6 +108,9 @@
 	return Began
 }
 
+// Kept reports whether limits are kept: whether the leader grants permits.
+func (l *Limits) Kept() bool { return l.granting }
+
 // Limited reports whether the target has a known limit.
 func (l *Limits) Limited(id ident.TargetID) bool { return l.byTarget[id] != nil }
 
@@ -120,7 +127,7 @@
 // permit.
 func (l *Limits) Available(now clock.Time, id ident.TargetID) bool {
 	known := l.byTarget[id]
-	if known == nil {
+	if known == nil || !l.granting {
 		return true
 	}
 	known.dropExpired(now)
@@ -150,7 +157,7 @@
 		return Permit{}, false
 	}
 	known := l.byTarget[id]
-	if known == nil {
+	if known == nil || !l.granting {
 		return Permit{}, true
 	}
 	taken := Permit{id, known.Incarnation, known.permits[0]}
@@ -177,7 +184,7 @@
 // target was usable for it. It reports whether a request for permits is due.
 func (l *Limits) Demand(now clock.Time, id ident.TargetID, starved bool) bool {
 	known := l.byTarget[id]
-	if known == nil {
+	if known == nil || !l.granting {
 		return false
 	}
 	known.demand++
@@ -212,6 +219,9 @@
 
 // Unreported reports whether there is a limit or an end that the allocator is not known to know.
 func (l *Limits) Unreported() bool {
+	if !l.granting {
+		return false
+	}
 	for _, known := range l.byTarget {
 		if known.run == 0 {
 			return true
@@ -228,6 +238,9 @@
 // Request returns the request for permits that is due now, and false if none is.
 func (l *Limits) Request(now clock.Time) (Request, bool) {
 	var r Request
+	if !l.granting {
+		return r, false
+	}
 	for _, known := range l.byTarget {
 		wanted := known.wanted(now)
 		if known.run != 0 && wanted == 0 {
@@ -295,7 +308,8 @@
 // Merge applies a snapshot from a reply to a request that was sent at requestedAt. current returns
 // the incarnation of a target, or 0 if the target is unknown. It returns what changed.
 func (l *Limits) Merge(now, requestedAt clock.Time, s Snapshot, current func(ident.TargetID) ident.Incarnation) []ChangedLimit {
-	if s.Run == 0 {
+	l.granting = s.Run != 0
+	if !l.granting {
 		return nil
 	}
 	var changed []ChangedLimit
--- a/internal/cluster/permit/permit.go
+++ b/internal/cluster/permit/permit.go
@@ -18,6 +18,8 @@
 // instance that has just started thus knows them before it serves. Every answer tells the truth
 // again, so a stale record lasts until the next answer only.
 //
+// While the leader runs an earlier version, limits are observed and not kept.
+//
 // Limits is the part of an instance, Allocator that of the leader. Neither holds a lock or reads a
 // clock: the caller serializes access and passes the time.
 package permit
--- a/leader/coordinator.go
+++ b/leader/coordinator.go
@@ -41,6 +41,8 @@
 	// Stages lets engines of forwarded services switch between the prefill role, which only
 	// processes prompts, and the mixed role, which also generates answers.
 	Stages bool
+	// Permits lets the leader grant permits for targets with a rate limit.
+	Permits bool
 	// Pause is the minimum time between the orders of two successive leaders to one engine, on
 	// top of the leader lease and the send timeout; 0 adds nothing. See newLeaderPause.
 	Pause  time.Duration
@@ -76,7 +78,7 @@
 // NewCoordinator returns a coordinator that does nothing until Start is called.
 func NewCoordinator(cfg Config) *Coordinator {
 	return &Coordinator{
-		cfg: cfg, leases: NewLeases(), loadTotals: inflight.New(), placements: newPlacementLog(), permits: newAllocator(), plans: newRolePlans(), work: newEngineWork(), sentAt: map[ident.OrderID]clock.Time{},
+		cfg: cfg, leases: NewLeases(), loadTotals: inflight.New(), placements: newPlacementLog(), permits: newAllocator(cfg.Permits), plans: newRolePlans(), work: newEngineWork(), sentAt: map[ident.OrderID]clock.Time{},
 		refused: map[ident.OrderID]bool{}, waitReasons: map[ident.OrderID]string{},
 	}
 }
@@ -145,7 +147,7 @@
 		co.leases.Begin(now, co.cfg.Node.Status().FirstLeadership)
 		co.loadTotals = inflight.New()
 		co.placements = newPlacementLog()
-		co.permits = newAllocator()
+		co.permits = newAllocator(co.cfg.Permits)
 		co.plans = newRolePlans()
 		co.work = newEngineWork()
 		clear(co.sentAt)
--- a/leader/limits.go
+++ b/leader/limits.go
@@ -12,8 +12,13 @@
 )
 
 // newAllocator returns an allocator of permits. Its random run number lets instances notice that a
-// leader does not know their limits yet.
-func newAllocator() *permit.Allocator { return permit.NewAllocator(rand.Uint32() | 1) }
+// leader does not know their limits yet; the number 0 tells them that it grants no permits.
+func newAllocator(grants bool) *permit.Allocator {
+	if !grants {
+		return permit.NewAllocator(0)
+	}
+	return permit.NewAllocator(rand.Uint32() | 1)
+}
 
 // Acquire grants an instance permits for targets with a rate limit, and records the limits that the
 // instance reports. It returns a fault.NotLeader error if this instance does not lead, because two
--- /dev/null
+++ b/peer/optional_test.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/feed"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/inflight"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
+	"github.com/hickoryridge/hickoryridge/state"
+)
+
+// The messages as an earlier version knows them.
+type (
+	earlierGrant struct {
+		Duration time.Duration
+		Version  state.Version
+		View     *state.View
+		Claims   []state.Claim
+		Roster   *Roster
+		Holders  int
+	}
+	earlierSum struct {
+		Loads  inflight.Loads
+		Placed []Placement
+		Next   feed.Cursor
+	}
+	earlierPlaced struct {
+		Ticket       Ticket
+		Target       ident.TargetID
+		CacheSource  ident.TargetID
+		Cached       ident.Tokens
+		ExpectedTTFT time.Duration
+		QueueWait    time.Duration
+		RetryAfter   time.Duration
+	}
+	earlierNote struct {
+		Ticket  Ticket
+		Event   NoteEvent
+		Running int
+		Slots   int
+	}
+)
+
+// recode encodes a value as it is sent between instances and decodes it into another.
+func recode(t *testing.T, from, into any) error {
+	t.Helper()
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(from); err != nil {
+		t.Fatal(err)
+	}
+	return msgpack.Unmarshal(buf.Bytes(), into)
+}
+
+// TestOptionalFieldsBetweenVersions exchanges messages with an earlier version. It must read those
+// without optional fields, this version those of both.
+func TestOptionalFieldsBetweenVersions(t *testing.T) {
+	rate := ident.RequestsPerSecond(7.9)
+	limits := permit.Snapshot{Run: 7, Limits: []permit.Limit{{Target: "t", Incarnation: 2, Rate: rate}}}
+	for name, test := range map[string]struct {
+		current  any // without optional fields
+		earlier  any // the same message in the earlier version
+		extended any // with optional fields
+	}{
+		"grant":  {&Grant{Duration: time.Second, Version: 4, Holders: 9}, &earlierGrant{Duration: time.Second, Version: 4, Holders: 9}, &Grant{Duration: time.Second, Version: 4, Holders: 9, Limits: limits}},
+		"sum":    {&Sum{Next: feed.Cursor{Run: 3, Next: 5}}, &earlierSum{Next: feed.Cursor{Run: 3, Next: 5}}, &Sum{Next: feed.Cursor{Run: 3, Next: 5}, Limits: limits}},
+		"placed": {&Placed{Ticket: 3, Target: "t", Cached: 100}, &earlierPlaced{Ticket: 3, Target: "t", Cached: 100}, &Placed{Ticket: 3, Target: "t", Cached: 100, Permitted: true}},
+		"none":   {&Placed{RetryAfter: time.Second}, &earlierPlaced{RetryAfter: time.Second}, &Placed{RetryAfter: time.Second, Limited: true}},
+		"note":   {&Note{Ticket: 3, Event: NoteLoad, Running: 1, Slots: 6}, &earlierNote{3, NoteLoad, 1, 6}, &Note{Ticket: 3, Event: NoteLimited, Rate: &rate}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for direction, pair := range map[string][2]any{
+				"from this to the earlier version": {test.current, test.earlier},
+				"from the earlier to this version": {test.earlier, test.current},
+				"from this to this version":        {test.extended, test.extended},
+			} {
+				got := reflect.New(reflect.TypeOf(pair[1]).Elem())
+				if err := recode(t, pair[0], got.Interface()); err != nil || !reflect.DeepEqual(got.Interface(), pair[1]) {
+					t.Errorf("%s: got %+v, want %+v: %v", direction, got.Elem(), reflect.ValueOf(pair[1]).Elem(), err)
+				}
+			}
+		})
+	}
+	if err := recode(t, []int{1, 2}, &Note{}); !fault.Is(err, fault.FrameInvalid) {
+		t.Errorf("note of two fields: %v", err)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -149,6 +149,9 @@
 	// Stages lets the leader switch engines of forwarded services between the prefill role, which
 	// only processes prompts, and the mixed role, which also generates answers. It needs Place.
 	Stages bool `json:"stages,omitempty"`
+	// Permits lets the leader grant permits for requests to targets that name a rate limit; see package
+	// permit. Without it, limits are only observed. Earlier versions do not support its messages.
+	Permits bool `json:"permits,omitempty"`
 	// Learn lets instances estimate from the outcomes of requests how long engines take.
 	Learn bool `json:"learn,omitempty"`
 	// Prefill and Mixed are the rates, in prompt tokens per second, of engines in these roles that
