--- a/dispatch/limiting.go
+++ b/dispatch/limiting.go
@@ -202,8 +202,10 @@
 		return pool.limits.Apply(now, requestedAt, r, reply, pool.incarnation)
 	})
 	for _, g := range reply.Grants {
-		pool.reviewTarget(now, g.Target)
-		heap.Push(&pool.deadlines, deadline{requestedAt.Add(permit.PermitTime), g.Target})
+		if g.Count > 0 {
+			pool.reviewTarget(now, g.Target)
+			heap.Push(&pool.deadlines, deadline{requestedAt.Add(permit.PermitTime), g.Target})
+		}
 	}
 	pool.endPermitRound()
 	return changed
--- a/instance/permits.go
+++ b/instance/permits.go
@@ -22,6 +22,7 @@
 // acquirePermits is the background task that requests permits for targets with a rate limit, when
 // there are requests for them, and reports limits to the leader.
 func (in *Instance) acquirePermits(ctx context.Context) error {
+	var failing bool // the last request got no reply
 	for {
 		var retry <-chan time.Time
 		if in.targetPool.LimitsUnreported() {
@@ -33,26 +34,34 @@
 		case <-in.targetPool.PermitsWanted():
 		case <-retry:
 		}
-		in.acquireOnce(ctx)
+		failing = in.acquireOnce(ctx, failing)
 	}
 }
 
-func (in *Instance) acquireOnce(ctx context.Context) {
+// acquireOnce sends the request for permits that is due, if any, and reports whether it got no reply.
+// It logs only the first failure in a row.
+func (in *Instance) acquireOnce(ctx context.Context, failing bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
 	requestedAt := clock.Now()
 	request, due := in.targetPool.PermitRequest(requestedAt)
 	if !due {
-		return
+		return failing
 	}
 	acquired, err := requestAs[*peer.Acquired](ctx, in.leader, &peer.Acquire{Instance: in.settings.Instance, Request: request})
 	if err != nil {
 		in.targetPool.PermitsFailed(clock.Now(), request)
-		in.log.WithFields(logrus.Fields{"event": "permits_not_acquired", "cause": err}).Warn("the leader did not reply to a request for permits; limited targets get no requests meanwhile")
-		return
+		if !failing {
+			in.log.WithFields(logrus.Fields{"event": "permits_not_acquired", "cause": err}).Warn("the leader did not reply to a request for permits; limited targets get no requests until it does")
+		}
+		return true
+	}
+	if failing {
+		in.log.WithField("event", "permits_acquired").Info("the leader replies to requests for permits again")
 	}
 	in.countPermits(request, acquired.Reply)
 	in.logLimits("leader", in.targetPool.ApplyPermits(clock.Now(), requestedAt, request, acquired.Reply))
+	return false
 }
 
 // countPermits counts the permits that were wanted and granted.
