--- a/internal/net/cert/cert.go
+++ b/internal/net/cert/cert.go
@@ -36,6 +36,9 @@
 	log      *logrus.Entry
 	current  atomic.Pointer[certificate]
 	rejected fileContents // last files that could not be used; owned by Run
+	// unreadable is why the files could not be read last time; empty if they could. It is owned by
+	// Run.
+	unreadable string
 }
 
 // fileContents is the content of the files.
@@ -107,6 +110,13 @@
 // reload reads the files and, if they have changed and are usable, uses the new certificate.
 func (r *Reloader) reload() {
 	c, err := r.read()
+	if err != nil && err.Error() == r.unreadable {
+		return // logged before
+	}
+	r.unreadable = ""
+	if err != nil {
+		r.unreadable = err.Error()
+	}
 	if err == nil && (c.equal(r.current.Load().fileContents) || c.equal(r.rejected)) {
 		return
 	}
