--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"net/http"
+	"net/http/httptest"
 	"reflect"
 	"strings"
 	"testing"
@@ -50,3 +52,14 @@
 		t.Errorf("report:\n%s", out.String())
 	}
 }
+
+// TestUnreachableServiceIsNoWrongAnswer checks that a service whose runs cannot be counted makes the
+// load fail without counting as a wrong answer.
+func TestUnreachableServiceIsNoWrongAnswer(t *testing.T) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	r := runner{target: Target{ServiceURLs: []string{gone.URL}}, client: http.DefaultClient, report: newReport(testSpec())}
+	if report := r.finishReport(); len(report.Wrong) != 0 || len(report.Unknown) != 1 || !report.Failed() {
+		t.Errorf("wrong answers %v, unknown %v", report.Wrong, report.Unknown)
+	}
+}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -25,7 +25,8 @@
 	Spec       Spec     `json:"spec"`
 	Rows       []*Row   `json:"rows"`
 	Duplicated int      `json:"duplicated"` // payments that ran more than once
-	Wrong      []string `json:"wrong"`      // wrong answers, and fake services whose runs are unknown
+	Wrong      []string `json:"wrong"`      // wrong answers
+	Unknown    []string `json:"unknown"`    // fake services whose runs are unknown, with the cause
 	rowsByKey  map[[2]string]*Row
 }
 
@@ -114,9 +115,9 @@
 	})
 }
 
-// Failed reports whether an answer was wrong or a payment ran more than once. Requests
-// that the system refused are no failure.
-func (r *Report) Failed() bool { return len(r.Wrong) > 0 || r.Duplicated > 0 }
+// Failed reports whether an answer was wrong, a payment ran more than once or that is not known of
+// all services. Requests that the system refused are no failure.
+func (r *Report) Failed() bool { return len(r.Wrong) > 0 || len(r.Unknown) > 0 || r.Duplicated > 0 }
 
 // Print writes the report as a table.
 func (r *Report) Print(w io.Writer) error {
@@ -129,7 +130,7 @@
 	if err := t.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(w, "times in ms, from when a request was due; wrong answers %d, payments run more than once %d\n", len(r.Wrong), r.Duplicated)
+	_, err := fmt.Fprintf(w, "times in ms, from when a request was due; wrong answers %d, payments run more than once %d, services whose runs are unknown %d\n", len(r.Wrong), r.Duplicated, len(r.Unknown))
 	return err
 }
 
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -215,12 +215,12 @@
 	for _, base := range r.target.ServiceURLs {
 		resp, err := r.client.Get(base + "/ran")
 		if err != nil {
-			r.report.Wrong = append(r.report.Wrong, err.Error())
+			r.report.Unknown = append(r.report.Unknown, base+": "+err.Error())
 			continue
 		}
 		var runs []standin.RunRecord
 		if err := json.NewDecoder(resp.Body).Decode(&runs); err != nil {
-			r.report.Wrong = append(r.report.Wrong, err.Error())
+			r.report.Unknown = append(r.report.Unknown, base+": "+err.Error())
 		}
 		_ = resp.Body.Close() // the body has been decoded
 		for _, run := range runs {
