Small things left behind: an unused constant, what apply waits for, a test's check

state.MaxOpenTime was used nowhere. hickoryctl apply waits up to 3 s until a document is in force, and says so. TestDamagedLogIsRefused checks the position that its comment speaks of.

--- a/cmd/hickoryctl/main.go
+++ b/cmd/hickoryctl/main.go
@@ -14,7 +14,7 @@
 const usage = `usage: hickoryctl [-control ADDRESS] [-json] COMMAND
 
   check FILE                    validate a desired-state document locally
-  apply FILE                    apply a document and wait until it is in force
+  apply FILE                    apply a document and wait up to 3 s until it is in force
   show                          print the newest document
   status                        print instances, voters, orders and receipts
   targets                       print the targets that the instance has in its table
--- a/e2e/config_test.go
+++ b/e2e/config_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"sync"
 	"syscall"
 	"testing"
@@ -187,6 +188,9 @@
 	}
 }
 
+// damagePosition matches the message about a damaged log.
+var damagePosition = regexp.MustCompile(`damaged at byte \d+, next valid record at byte \d+`)
+
 // TestDamagedLogIsRefused flips a bit in the middle of a voter's log. The voter must exit with an
 // error that names the position, instead of starting with part of its log, and the other voters
 // must keep working.
@@ -212,5 +216,12 @@
 		t.Error("the voter started with a damaged log")
 	}
 	c.nodes[victim].cmd = nil
+	text, err := os.ReadFile(c.nodes[victim].logPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !damagePosition.Match(text) {
+		t.Errorf("the voter's last output names no position of the damage: %.400s", text[max(0, len(text)-400):])
+	}
 	c.apply(0)
 }
--- a/state/receipts.go
+++ b/state/receipts.go
@@ -16,9 +16,6 @@
 	Retention = 24 * time.Hour
 	// MaxKeyAhead is how far the timestamp embedded in a key may lie in the future.
 	MaxKeyAhead = 5 * time.Minute
-	// MaxOpenTime is not enforced: an open receipt becomes unknown only when its owner
-	// closes it as unknown or AbandonReceipts selects it.
-	MaxOpenTime = 40 * time.Minute
 	// maxExpirePerCommand bounds the receipts that one command expires, so that no
 	// command is slow.
 	maxExpirePerCommand = 64
