--- a/internal/cluster/permit/model_test.go
+++ b/internal/cluster/permit/model_test.go
@@ -28,6 +28,7 @@
 	onlyThese bool    // no target without a limit is usable
 	served    int
 	refused   int
+	asked     int // requests for permits that reached the allocator
 	hurried   int // refusals that name no time to come back
 }
 
@@ -202,6 +203,7 @@
 			})
 			return
 		}
+		m.asked++
 		reply := m.allocator.Handle(m.now, in.id, r)
 		m.after(m.latency(), func() {
 			in.when(func() {
@@ -483,9 +485,10 @@
 			m.name(m.targets[0], limit)
 			const settled, span = 8 * time.Second, 20 * time.Second
 			m.run(settled)
-			before, refused := len(m.targets[0].arrivals), m.refused
+			before, refused, asked := len(m.targets[0].arrivals), m.refused, m.asked
 			m.run(settled + span)
 			got := float64(len(m.targets[0].arrivals)-before) / span.Seconds() / limit
+			t.Logf("%.2f of the limit used, %.1f requests for permits per second", got, float64(m.asked-asked)/span.Seconds())
 			if got < test.least || got > test.most {
 				t.Errorf("limited target got %.2f of its limit, want %.2f to %.2f", got, test.least, test.most)
 			}
@@ -495,3 +498,15 @@
 		})
 	}
 }
+
+// BenchmarkHandle measures the allocator's work for a request for a permit, of 400 instances and 20
+// limited targets.
+func BenchmarkHandle(b *testing.B) {
+	a := NewAllocator(1)
+	now := modelStart
+	for n := 0; b.Loop(); n++ {
+		now = now.Add(time.Millisecond)
+		limit := Limit{Target: ident.TargetID(fmt.Sprint("t", n%20)), Incarnation: 1, Rate: 8}
+		a.Handle(now, ident.InstanceID(fmt.Sprint("i", n%400)), Request{[]Observation{{Limit: limit, Wanted: 1}}})
+	}
+}
