--- a/dispatch/assignment.go
+++ b/dispatch/assignment.go
@@ -58,7 +58,7 @@
 	r, _ := pool.table.Get(c.ID)
 	c = pool.router.Sent(now, c, req)
 	pool.running[c.ID]++
-	a := &Assignment{Choice: c, Address: r.Address, Region: r.Region, pool: pool, req: req, incarnation: r.Incarnation, sentAt: now, limited: pool.limits.Limited(c.ID), permit: taken}
+	a := &Assignment{Choice: c, Address: r.Address, Region: r.Region, pool: pool, req: req, incarnation: r.Incarnation, sentAt: now, limited: pool.access(now, c.ID) != router.Unlimited, permit: taken}
 	if source, ok := pool.table.Get(c.Source); ok {
 		a.Source = source.Address
 	}
--- a/dispatch/limiting_test.go
+++ b/dispatch/limiting_test.go
@@ -24,7 +24,7 @@
 	reply.Known.Run = 1
 	for id, n := range permits {
 		reply.Known.Limits = append(reply.Known.Limits, permit.Limit{Target: id, Incarnation: 1, Rate: 8})
-		reply.Grants = append(reply.Grants, permit.Grant{Target: id, Count: n, RetryAfter: 700 * time.Millisecond})
+		reply.Grants = append(reply.Grants, permit.Grant{Target: id, Incarnation: 1, Count: n, RetryAfter: 700 * time.Millisecond})
 	}
 	pool.MergeLimits(now, now, reply.Known)
 	pool.ApplyPermits(now, now, permit.Request{}, reply)
@@ -134,7 +134,7 @@
 					r, _ := pool.PermitRequest(now)
 					time.Sleep(test.after)
 					pool.ApplyPermits(now, now, r, permit.Reply{
-						Grants: []permit.Grant{{Target: "t0", Count: test.granted, RetryAfter: 700 * time.Millisecond}},
+						Grants: []permit.Grant{{Target: "t0", Incarnation: 1, Count: test.granted, RetryAfter: 700 * time.Millisecond}},
 						Known:  permit.Snapshot{Run: 1, Limits: pool.Limits()},
 					})
 				}()
@@ -276,6 +276,25 @@
 	}
 }
 
+// TestPlacerObservesLimit checks that a placer whose leader grants no permits places requests at a
+// limited engine as before, and says nothing that an earlier version would not read.
+func TestPlacerObservesLimit(t *testing.T) {
+	at := start
+	p := NewPlacer(newPlacerPool(&at, 1, 1))
+	rate := ident.RequestsPerSecond(8)
+	request := &peer.Place{Service: "advisor", Stage: router.StagePrefill, Prompt: 300, Remaining: time.Second, KnownEngines: 1}
+	for range 3 {
+		placed, err := p.Place(at, request)
+		if err != nil || placed.Target == "" || placed.Permitted || placed.Limited {
+			t.Fatalf("placed %+v: %v", placed, err)
+		}
+		p.Notify([]peer.Note{{Ticket: placed.Ticket, Event: peer.NoteLimited, Rate: &rate}})
+	}
+	if len(p.pool.Limits()) != 1 {
+		t.Errorf("observed %v, want one limit", p.pool.Limits())
+	}
+}
+
 // TestLimitedEnginesAreKnown checks that a limit does not make an instance count fewer engines, by
 // which it would judge a placer to know too few.
 func TestLimitedEnginesAreKnown(t *testing.T) {
--- a/internal/cluster/permit/allocator.go
+++ b/internal/cluster/permit/allocator.go
@@ -96,7 +96,7 @@
 
 // grant grants as many of the wanted permits as there are.
 func (a *Allocator) grant(now clock.Time, from ident.InstanceID, o Observation) Grant {
-	g := Grant{Target: o.Limit.Target}
+	g := Grant{Target: o.Limit.Target, Incarnation: o.Limit.Incarnation}
 	b := a.byTarget[o.Limit.Target]
 	if b == nil || b.limit.Incarnation != o.Limit.Incarnation {
 		g.RetryAfter = askInterval // by then, the instance has learned from the snapshot
@@ -150,11 +150,16 @@
 	return list
 }
 
-// Retain removes the limits for which keep returns false: those of targets that are gone or have
-// started again.
-func (a *Allocator) Retain(keep func(Limit) bool) {
+// unknownTargetTime is the time for which the limit of a target is kept that the leader does not
+// know. A voter that has just started does not know all targets yet.
+const unknownTargetTime = 1 * time.Minute
+
+// DropStale removes the limits of targets that have started again since or are gone. current returns
+// the incarnation of a target, or 0 if the target is unknown.
+func (a *Allocator) DropStale(now clock.Time, current func(ident.TargetID) ident.Incarnation) {
 	for id, b := range a.byTarget {
-		if !keep(b.limit) {
+		incarnation := current(id)
+		if b.limit.Incarnation < incarnation || incarnation == 0 && now.Sub(b.namedAt) > unknownTargetTime {
 			delete(a.byTarget, id)
 		}
 	}
--- a/internal/cluster/permit/limits_test.go
+++ b/internal/cluster/permit/limits_test.go
@@ -173,12 +173,28 @@
 	}
 	a := NewAllocator(7)
 	a.Handle(at(0), "i", Request{[]Observation{{Limit: old.Limits[0]}}})
-	a.Retain(func(l Limit) bool { return l.Incarnation >= second(l.Target) })
+	a.DropStale(at(0), second)
 	if limits := a.Snapshot().Limits; len(limits) > 0 {
 		t.Errorf("the leader keeps %v", limits)
 	}
 }
 
+// TestLimitOfUnknownTarget checks that a leader which does not know a target keeps its limit, but not
+// for ever.
+func TestLimitOfUnknownTarget(t *testing.T) {
+	unknown := func(ident.TargetID) ident.Incarnation { return 0 }
+	a := NewAllocator(7)
+	a.Handle(at(0), "i", Request{[]Observation{{Limit: Limit{Target: "t", Incarnation: 1, Rate: 8}}}})
+	a.DropStale(at(unknownTargetTime), unknown)
+	if len(a.Snapshot().Limits) != 1 {
+		t.Error("the limit was dropped before the leader could know the target")
+	}
+	a.DropStale(at(unknownTargetTime+1), unknown)
+	if len(a.Snapshot().Limits) != 0 {
+		t.Error("the limit of a target that is gone was kept")
+	}
+}
+
 // TestUnusedPermitsLapse lets many instances collect permits, one each, and use all of them at once.
 func TestUnusedPermitsLapse(t *testing.T) {
 	const (
@@ -233,7 +249,7 @@
 	if len(r.Observations) != 1 || r.Observations[0].Wanted != 1 {
 		t.Fatalf("request %+v, want one permit", r)
 	}
-	l.Apply(at(20*time.Millisecond), at(0), r, Reply{Grants: []Grant{{Target: "t", Count: 1}}, Known: Snapshot{7, l.List()}}, firstIncarnation)
+	l.Apply(at(20*time.Millisecond), at(0), r, Reply{Grants: []Grant{{Target: "t", Incarnation: 1, Count: 1}, {Target: "t", Incarnation: 2, Count: 5}}, Known: Snapshot{7, l.List()}}, firstIncarnation)
 	taken, ok := l.Take(at(900*time.Millisecond), "t")
 	if !ok || l.Available(at(900*time.Millisecond), "t") {
 		t.Errorf("taken %v, still available %v", ok, l.Available(at(900*time.Millisecond), "t"))
@@ -386,7 +402,7 @@
 	}
 	// Output:
 	// {4} <nil>
-	// false [{engine-1 0 250ms}]
-	// true [{engine-1 1 0s}]
-	// true [{engine-1 1 0s}]
+	// false [{engine-1 1 0 250ms}]
+	// true [{engine-1 1 1 0s}]
+	// true [{engine-1 1 1 0s}]
 }
--- a/internal/cluster/permit/model_test.go
+++ b/internal/cluster/permit/model_test.go
@@ -322,7 +322,12 @@
 	}
 	m.after(time.Duration(m.rng.IntN(500))*time.Millisecond, func() {
 		if m.allocator != nil {
-			m.allocator.Retain(func(l Limit) bool { return l.Target != t.id || l.Incarnation >= incarnation })
+			m.allocator.DropStale(m.now, func(id ident.TargetID) ident.Incarnation {
+				if id == t.id {
+					return incarnation
+				}
+				return 0
+			})
 		}
 	})
 }
--- a/internal/cluster/permit/permit.go
+++ b/internal/cluster/permit/permit.go
@@ -64,8 +64,9 @@
 
 // Grant is the part of a reply for one target of which permits were wanted.
 type Grant struct {
-	Target ident.TargetID `msgpack:"target"`
-	Count  int            `msgpack:"count"`
+	Target      ident.TargetID    `msgpack:"target"`
+	Incarnation ident.Incarnation `msgpack:"incarnation"`
+	Count       int               `msgpack:"count"`
 	// RetryAfter is, if Count is 0, the time after which another request may be granted.
 	RetryAfter time.Duration `msgpack:"back"`
 }
--- a/leader/limits.go
+++ b/leader/limits.go
@@ -39,8 +39,7 @@
 	return co.permits.Statuses(clock.Now())
 }
 
-// dropStaleLimits removes the limits of targets that have started again. It keeps those of targets
-// that are not in the table: a voter that has just started does not know all targets yet.
+// dropStaleLimits removes the limits of targets that have started again or are gone.
 func (co *Coordinator) dropStaleLimits(context.Context) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
@@ -51,5 +50,5 @@
 	for _, r := range co.cfg.Targets() {
 		current[r.Target] = r.Incarnation
 	}
-	co.permits.Retain(func(l permit.Limit) bool { return l.Incarnation >= current[l.Target] })
+	co.permits.DropStale(clock.Now(), func(id ident.TargetID) ident.Incarnation { return current[id] })
 }
