e2e: the limited targets are in the region of an instance that serves

Traced: they were those of the first region; the leader that the test kills was the instance of that region, and the two others found targets nearer. No limit was named, so none could be broken. The test now limits targets in the region of an instance that stays; its bounds are unchanged.

--- a/e2e/limit_test.go
+++ b/e2e/limit_test.go
@@ -23,12 +23,14 @@
 	c := newCluster(t, 3, 3, false)
 	c.addTargets(3, 3, standin.EngineConfig{Speed: 20})
 	c.bootstrap()
-	rate := limit
-	c.engines[0].Limit.Set(&rate)
-	c.services[0].Limit.Set(&rate)
-	binds := time.Now().Add(limittest.Settle)
 	lost := c.leader(0)
 	through := []int{c.otherThan(lost), c.otherThan(lost, c.otherThan(lost))}
+	// Targets are numbered by region like the instances: these are in the region of one that serves.
+	engine, service := c.engines[through[0]], c.services[through[0]]
+	rate := limit
+	engine.Limit.Set(&rate)
+	service.Limit.Set(&rate)
+	binds := time.Now().Add(limittest.Settle)
 	var wg sync.WaitGroup
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -56,7 +58,7 @@
 	}
 	wg.Wait()
 	t.Logf("sent and served: %v", served)
-	for name, arrivals := range map[string][]time.Time{"engine": c.engines[0].Limit.Arrivals(), "service": c.services[0].Limit.Arrivals()} {
+	for name, arrivals := range map[string][]time.Time{"engine": engine.Limit.Arrivals(), "service": service.Limit.Arrivals()} {
 		bound := limittest.From(arrivals, binds)
 		if most := limittest.Most(bound); most > limittest.Allowed(limit) {
 			t.Errorf("limited %s got %d requests within %v, at most %d allowed", name, most, limittest.Window, limittest.Allowed(limit))
