--- a/e2e/limit_test.go
+++ b/e2e/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"regexp"
 	"sync"
 	"testing"
 	"time"
@@ -58,6 +59,16 @@
 	}
 	wg.Wait()
 	t.Logf("sent and served: %v", served)
+	name := fmt.Sprint("engine-", through[0]+1)
+	for command, want := range map[string]*regexp.Regexp{
+		"status":  regexp.MustCompile(`limit ` + name + `: 8 requests/s, \d+ permits granted`),
+		"targets": regexp.MustCompile(name + ` .* 8/s`),
+	} {
+		c.await("hickoryctl "+command+" to show the limit", func() bool {
+			code, out := c.runCtl(command)
+			return code == 0 && want.MatchString(out)
+		})
+	}
 	for name, arrivals := range map[string][]time.Time{"engine": engine.Limit.Arrivals(), "service": service.Limit.Arrivals()} {
 		bound := limittest.From(arrivals, binds)
 		if most := limittest.Most(bound); most > limittest.Allowed(limit) {
