limittest: one check of windows against changing limits, for the model and the soak

The same walk over windows and spans stood in both. Each of the soak's and the model's requests counts as before. Counters of the model that nothing read are gone.

--- a/internal/cluster/permit/model_test.go
+++ b/internal/cluster/permit/model_test.go
@@ -26,7 +26,6 @@
 	targets   []*modelTarget
 	rate      float64 // requests per second of all instances together
 	onlyThese bool    // no target without a limit is usable
-	served    int
 	refused   int
 	asked     int // requests for permits that reached the allocator
 	hurried   int // refusals that name no time to come back
@@ -50,20 +49,8 @@
 	incarnation ident.Incarnation
 	named       bool
 	rate        ident.RequestsPerSecond
-	namedAt     clock.Time
-	history     []rateSpan
-	arrivals    []modelArrival
-}
-
-// rateSpan is a rate from a time on; negative for none.
-type rateSpan struct {
-	from clock.Time
-	rate ident.RequestsPerSecond
-}
-
-type modelArrival struct {
-	at   clock.Time
-	told bool
+	history     []limittest.Span
+	arrivals    []limittest.Arrival
 }
 
 type event struct {
@@ -93,7 +80,7 @@
 	m := &model{rng: rand.New(rand.NewPCG(seed, 5)), now: modelStart, rate: rate}
 	m.elect()
 	for i := range targets {
-		m.targets = append(m.targets, &modelTarget{id: ident.TargetID(fmt.Sprint("t", i)), incarnation: 1, history: []rateSpan{{modelStart, -1}}})
+		m.targets = append(m.targets, &modelTarget{id: ident.TargetID(fmt.Sprint("t", i)), incarnation: 1, history: []limittest.Span{{From: wall(modelStart), Rate: -1}}})
 	}
 	for range instances {
 		m.join()
@@ -272,7 +259,7 @@
 	sentAt, incarnation := m.now, in.known[t.id]
 	m.after(m.latency(), func() {
 		told, isTold := in.told[t.id]
-		t.arrivals = append(t.arrivals, modelArrival{m.now, isTold && m.now.Sub(told) >= limittest.Told})
+		t.arrivals = append(t.arrivals, limittest.Arrival{At: wall(m.now), Told: isTold && m.now.Sub(told) >= limittest.Told})
 		m.after(time.Duration(20+m.rng.IntN(400))*time.Millisecond, func() {
 			if t.incarnation != incarnation {
 				return // the connection broke
@@ -287,7 +274,6 @@
 }
 
 func (m *model) receive(in *modelInstance, t *modelTarget, sentAt clock.Time, incarnation ident.Incarnation, s Statement) {
-	m.served++
 	if _, named := s.(Named); named && in.told[t.id] == 0 {
 		in.told[t.id] = m.now
 	}
@@ -298,13 +284,12 @@
 // name makes a target name a rate from now on; a negative one ends the limit.
 func (m *model) name(t *modelTarget, rate ident.RequestsPerSecond) {
 	if !t.named {
-		t.namedAt = m.now
 		for _, in := range m.instances {
 			delete(in.told, t.id)
 		}
 	}
 	t.named, t.rate = rate >= 0, rate
-	t.history = append(t.history, rateSpan{m.now, rate})
+	t.history = append(t.history, limittest.Span{From: wall(m.now), Rate: rate})
 }
 
 // restart starts a target again, without a limit. The instances learn it within half a second.
@@ -384,48 +369,8 @@
 	return kept
 }
 
-// highestRate returns the highest rate that a target named at any time from from to to, and false
-// if it named none for some of that time.
-func (t *modelTarget) highestRate(from, to clock.Time) (highest ident.RequestsPerSecond, always bool) {
-	always = true
-	for i, span := range t.history {
-		ends := to
-		if i+1 < len(t.history) {
-			ends = t.history[i+1].from
-		}
-		if !ends.After(from) || span.from.After(to) {
-			continue
-		}
-		highest = max(highest, span.rate)
-		always = always && span.rate >= 0
-	}
-	return highest, always
-}
-
-// check returns an error for the first window with more requests than allowed. The window counts
-// only if the target named limits from limittest.Settle before it to its end.
-func (t *modelTarget) check() error {
-	first := 0
-	for i, last := range t.arrivals {
-		for last.at.Sub(t.arrivals[first].at) > limittest.Window {
-			first++
-		}
-		rate, always := t.highestRate(t.arrivals[first].at.Add(-limittest.Settle), last.at)
-		if !always {
-			continue
-		}
-		n := 0
-		for _, a := range t.arrivals[first : i+1] {
-			if a.told {
-				n++
-			}
-		}
-		if allowed := limittest.Allowed(rate); n > allowed {
-			return fmt.Errorf("target %s with a limit of %.1f/s got %d requests in %v up to %v, at most %d allowed", t.id, rate, n, limittest.Window, last.at.Sub(modelStart), allowed)
-		}
-	}
-	return nil
-}
+// wall returns a time of the model as a wall clock shows it.
+func wall(t clock.Time) time.Time { return time.Unix(0, int64(t)) }
 
 // TestLimitKeptAtEverySize checks the stated target while instances join, stop, freeze and thaw, the
 // leader changes, and targets name, change and end limits and start again.
@@ -450,8 +395,8 @@
 				m.name(m.targets[0], 8)
 				m.run(35 * time.Second)
 				for _, target := range m.targets {
-					if err := target.check(); err != nil {
-						t.Errorf("seed %d: %v", seed, err)
+					if err := limittest.Check(target.history, target.arrivals); err != nil {
+						t.Errorf("seed %d: target %s %v", seed, target.id, err)
 					}
 				}
 				if m.hurried > 0 {
