limits: what stood twice, or took a detour

Observe returns the whole change, which the pool and the placer had put together again; notes about limits go through applyNote like the others. One lookup of a limit that is kept, one walk over a service's limited targets, one encoder in peer. Decisions are unchanged.

--- a/dispatch/limiting.go
+++ b/dispatch/limiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/fault"
@@ -92,9 +93,8 @@
 // unavailable returns the error for a request that no target may receive. pool.mu is held.
 func (pool *TargetPool) unavailable(now clock.Time, req router.Request) error {
 	soonest, limited := time.Duration(0), false
-	for _, id := range pool.limits.Targets() {
-		r, ok := pool.table.Get(id)
-		if !ok || r.Service != req.Service || !pool.router.Accepts(id, req.Stage) {
+	for _, id := range pool.limitedTargets(req.Service) {
+		if !pool.router.Accepts(id, req.Stage) {
 			continue
 		}
 		if after, _ := pool.limits.RetryAfter(now, id); !limited || after < soonest {
@@ -111,10 +111,17 @@
 // noteDemand records a request to a service for the limited targets of the service, and whether no
 // other target was usable. pool.mu is held.
 func (pool *TargetPool) noteDemand(now clock.Time, service ident.ServiceID, starved bool) {
-	for _, id := range pool.limits.Targets() {
-		r, ok := pool.table.Get(id)
-		if ok && r.Service == service && pool.limits.Demand(now, id, starved) {
+	for _, id := range pool.limitedTargets(service) {
+		if pool.limits.Demand(now, id, starved) {
 			pool.requestPermits()
 		}
 	}
 }
+
+// limitedTargets returns the targets of a service that have a known rate limit. pool.mu is held.
+func (pool *TargetPool) limitedTargets(service ident.ServiceID) []ident.TargetID {
+	return slices.DeleteFunc(pool.limits.Targets(), func(id ident.TargetID) bool {
+		r, ok := pool.table.Get(id)
+		return !ok || r.Service != service
+	})
+}
--- a/dispatch/limiting_test.go
+++ b/dispatch/limiting_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -221,14 +222,8 @@
 			if len(b.calls) != 1 || b.calls[0].Target != test.target {
 				t.Errorf("calls %+v, want one to %s", b.calls, test.target)
 			}
-			got := p.events()
-			if len(got) != len(test.notes) {
-				t.Fatalf("notes %v, want %v", got, test.notes)
-			}
-			for i := range got {
-				if got[i] != test.notes[i] {
-					t.Errorf("notes %v, want %v", got, test.notes)
-				}
+			if got := p.events(); !slices.Equal(got, test.notes) {
+				t.Errorf("notes %v, want %v", got, test.notes)
 			}
 		})
 	}
--- a/dispatch/placer.go
+++ b/dispatch/placer.go
@@ -116,11 +116,9 @@
 		if !ok {
 			continue
 		}
-		if s := limitStatement(n); s != nil {
-			changed = placed.assigned.appendChange(changed, s)
-			continue
+		if c := placed.assigned.applyNote(n); c.Change != permit.Unchanged {
+			changed = append(changed, c)
 		}
-		placed.assigned.applyNote(n)
 	}
 	return changed
 }
@@ -141,8 +139,9 @@
 	}
 }
 
-// applyNote applies another instance's report on the placement.
-func (a *Assignment) applyNote(n peer.Note) {
+// applyNote applies another instance's report on the placement. It returns the change of the target's
+// rate limit, if any.
+func (a *Assignment) applyNote(n peer.Note) (changed permit.ChangedLimit) {
 	switch n.Event {
 	case peer.NoteFirstToken:
 		a.FirstToken()
@@ -162,5 +161,12 @@
 		a.ReportPause(true)
 	case peer.NoteITLMet:
 		a.ReportPause(false)
+	case peer.NoteLimited:
+		if n.Rate != nil && *n.Rate >= 0 {
+			changed = a.ReportLimit(permit.Named{Rate: *n.Rate})
+		}
+	case peer.NoteUnlimited:
+		changed = a.ReportLimit(permit.NotNamed{})
 	}
+	return changed
 }
--- a/instance/permits.go
+++ b/instance/permits.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hickoryridge/hickoryridge/dispatch"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
 	"github.com/hickoryridge/hickoryridge/peer"
@@ -85,11 +86,6 @@
 // logLimits logs the limits that another instance made known here.
 func (in *Instance) logLimits(source string, changed []permit.ChangedLimit) {
 	for _, c := range changed {
-		fields := logrus.Fields{"event": "limit_named", "target": c.Limit.Target, "incarnation": c.Limit.Incarnation, "rate": float64(c.Limit.Rate), "source": source}
-		text := "learned of a target's rate limit"
-		if c.Change == permit.Ended {
-			fields["event"], text = "limit_ended", "learned that a target no longer has a rate limit"
-		}
-		in.log.WithFields(fields).Info(text)
+		dispatch.LogLimit(in.log, c, source, nil)
 	}
 }
--- a/internal/cluster/permit/limits.go
+++ b/internal/cluster/permit/limits.go
@@ -66,30 +66,31 @@
 
 // Observe records the statement of an answer. The request was sent to the given incarnation of the
 // target at sentAt. A request that was sent before the limit was known cannot end it, because the
-// target may have answered before it named the limit.
-func (l *Limits) Observe(now, sentAt clock.Time, id ident.TargetID, incarnation ident.Incarnation, s Statement) Change {
+// target may have answered before it named the limit. It returns what changed.
+func (l *Limits) Observe(now, sentAt clock.Time, id ident.TargetID, incarnation ident.Incarnation, s Statement) ChangedLimit {
 	known := l.byTarget[id]
 	if known != nil && known.Incarnation > incarnation {
-		return Unchanged
+		return ChangedLimit{}
 	}
 	switch s := s.(type) {
 	case Named:
+		change := Began
 		if known == nil || known.Incarnation < incarnation {
 			known = l.add(now, Limit{Target: id, Incarnation: incarnation, Rate: s.Rate})
-			known.namedAt = now
-			return Began
+		} else {
+			change = known.setRate(now, s.Rate)
 		}
 		known.namedAt = now
-		return known.setRate(now, s.Rate)
+		return ChangedLimit{known.Limit, change}
 	case NotNamed:
 		if known == nil || known.Incarnation < incarnation || !sentAt.After(known.learnedAt) {
-			return Unchanged
+			return ChangedLimit{}
 		}
 		delete(l.byTarget, id)
 		l.ends[id] = &end{Limit: known.Limit, sentAt: sentAt}
-		return Ended
+		return ChangedLimit{known.Limit, Ended}
 	default:
-		return Unchanged
+		return ChangedLimit{}
 	}
 }
 
--- a/internal/cluster/permit/limits_test.go
+++ b/internal/cluster/permit/limits_test.go
@@ -81,7 +81,7 @@
 		t.Run(name, func(t *testing.T) {
 			l := newLimits()
 			l.Observe(at(10*time.Second), at(9*time.Second), "t", 2, Named{8})
-			change := l.Observe(at(12*time.Second), at(test.sentAt), "t", test.incarnation, test.statement)
+			change := l.Observe(at(12*time.Second), at(test.sentAt), "t", test.incarnation, test.statement).Change
 			if rate, _ := l.Rate("t"); change != test.change || rate != test.rate {
 				t.Errorf("change %d, rate %v; want %d, %v", change, rate, test.change, test.rate)
 			}
@@ -136,7 +136,7 @@
 	old := Snapshot{7, []Limit{{Target: "t", Incarnation: 1, Rate: 8}}}
 	l := NewLimits()
 	l.Merge(at(10*time.Second), at(10*time.Second), old, firstIncarnation)
-	if l.Observe(at(12*time.Second), at(11*time.Second), "t", 1, NotNamed{}) != Ended {
+	if l.Observe(at(12*time.Second), at(11*time.Second), "t", 1, NotNamed{}).Change != Ended {
 		t.Fatal("the limit did not end")
 	}
 	l.Merge(at(13*time.Second), at(12*time.Second), old, firstIncarnation)
--- a/internal/cluster/permit/permit.go
+++ b/internal/cluster/permit/permit.go
@@ -93,7 +93,7 @@
 	Ended            // the target has no limit any more
 )
 
-// ChangedLimit is a limit with its change.
+// ChangedLimit is a limit with its change; for an ended one, the limit as it was.
 type ChangedLimit struct {
 	Limit  Limit
 	Change Change
--- a/internal/cluster/permit/permits.go
+++ b/internal/cluster/permit/permits.go
@@ -8,11 +8,19 @@
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 )
 
-// Available reports whether the target may get a request now: it has no known limit, or there is a
+// keptLimit returns the limit that is kept at a target, or nil if there is none.
+func (l *Limits) keptLimit(id ident.TargetID) *limit {
+	if !l.kept {
+		return nil
+	}
+	return l.byTarget[id]
+}
+
+// Available reports whether the target may get a request now: no limit is kept there, or there is a
 // permit.
 func (l *Limits) Available(now clock.Time, id ident.TargetID) bool {
-	known := l.byTarget[id]
-	if known == nil || !l.kept {
+	known := l.keptLimit(id)
+	if known == nil {
 		return true
 	}
 	known.dropExpired(now)
@@ -38,13 +46,14 @@
 // Take takes a permit for one request. It returns false if the target has a limit and there is no
 // permit.
 func (l *Limits) Take(now clock.Time, id ident.TargetID) (Permit, bool) {
-	if !l.Available(now, id) {
-		return Permit{}, false
-	}
-	known := l.byTarget[id]
-	if known == nil || !l.kept {
+	known := l.keptLimit(id)
+	if known == nil {
 		return Permit{}, true
 	}
+	known.dropExpired(now)
+	if len(known.permits) == 0 {
+		return Permit{}, false
+	}
 	taken := Permit{id, known.Incarnation, known.permits[0]}
 	known.permits = known.permits[1:]
 	known.used++
@@ -68,8 +77,8 @@
 // Demand records a request that might have used a permit for the target, and whether no other
 // target was usable for it. It reports whether a request for permits is due.
 func (l *Limits) Demand(now clock.Time, id ident.TargetID, starved bool) bool {
-	known := l.byTarget[id]
-	if known == nil || !l.kept {
+	known := l.keptLimit(id)
+	if known == nil {
 		return false
 	}
 	known.demand++
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -94,10 +94,7 @@
 // Encode returns the envelope as one frame.
 func (e Envelope) Encode() ([]byte, error) {
 	var buf bytes.Buffer
-	enc := msgpack.NewEncoder(&buf)
-	enc.UseArrayEncodedStructs(true)
-	enc.UseCompactInts(true)
-	if err := enc.EncodeMulti(uint8(e.Body.kind()), e.CallID, e.Reply, e.Body); err != nil {
+	if err := newEncoder(&buf).EncodeMulti(uint8(e.Body.kind()), e.CallID, e.Reply, e.Body); err != nil {
 		return nil, fault.Wrap(fault.Internal, err)
 	}
 	if buf.Len() > MaxFrame {
@@ -106,6 +103,14 @@
 	return AppendFrame(nil, buf.Bytes()), nil
 }
 
+// newEncoder returns an encoder of what is sent between instances.
+func newEncoder(w io.Writer) *msgpack.Encoder {
+	enc := msgpack.NewEncoder(w)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	return enc
+}
+
 // Decode parses the payload of a frame. Its errors are of kind fault.FrameInvalid.
 func Decode(payload []byte) (Envelope, error) {
 	var e Envelope
--- a/peer/optional_test.go
+++ b/peer/optional_test.go
@@ -52,10 +52,7 @@
 func recode(t *testing.T, from, into any) error {
 	t.Helper()
 	var buf bytes.Buffer
-	enc := msgpack.NewEncoder(&buf)
-	enc.UseArrayEncodedStructs(true)
-	enc.UseCompactInts(true)
-	if err := enc.Encode(from); err != nil {
+	if err := newEncoder(&buf).Encode(from); err != nil {
 		t.Fatal(err)
 	}
 	return msgpack.Unmarshal(buf.Bytes(), into)
--- a/router/access_test.go
+++ b/router/access_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/hickoryridge/hickoryridge/desired"
@@ -32,11 +33,7 @@
 			}
 			for n := range uint64(50) {
 				c, ok := r.Choose(Request{Service: "s", Stage: StagePrefill, Prompt: 2048, Blocks: []uint64{n, n + 1000}})
-				found := false
-				for _, id := range test.allowed {
-					found = found || c.ID == id
-				}
-				if ok != (len(test.allowed) > 0) || ok && !found {
+				if ok != (len(test.allowed) > 0) || ok && !slices.Contains(test.allowed, c.ID) {
 					t.Fatalf("chose %q (%v), want one of %v", c.ID, ok, test.allowed)
 				}
 			}
