dispatch: each broken answer of an engine is logged with the shared parts of its prompt

Callers saw answers break off at one engine after the other, and no log line said what the requests had in common. Now answer_broken names the target's incarnation, the shared parts, and whether the answer's head and first event had come.

--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -81,8 +81,7 @@
 	r.mayHaveRun = true
 	r.avoid = a.Choice.ID
 	if ctx.Err() == nil {
-		a.ReportAnswer(true)
-		a.MarkFailed()
+		r.recordBroken(a, true, err)
 	}
 	retry = r.mayResend() && (!r.headerSent || r.req.Rule.Retry == desired.RetryResume)
 	return retry, fault.New(fault.TargetFailed, "target %s: answer truncated: %v", a.Choice.ID, err)
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -368,8 +368,7 @@
 		r.reached = true
 		r.mayHaveRun = true
 		if ctx.Err() == nil {
-			a.ReportAnswer(true)
-			a.MarkFailed()
+			r.recordBroken(a, false, o.Err)
 		}
 		return r.mayResend(), fault.New(fault.TargetFailed, "target %s: %v", a.Choice.ID, o.Err)
 	default:
@@ -404,6 +403,30 @@
 	}
 }
 
+// recordBroken records that the target gave no complete answer, although the caller was still there.
+// head is set if the head of the answer arrived.
+func (r *forwardRun) recordBroken(a *Assignment, head bool, cause error) {
+	a.ReportAnswer(true)
+	a.MarkFailed()
+	if !r.hasEngines {
+		return
+	}
+	r.d.cfg.Log.WithFields(logrus.Fields{
+		"event": "answer_broken", "request": r.req.ID, "service": r.req.Service, "target": a.Choice.ID, "incarnation": a.incarnation,
+		"parts": sharedParts(r.req.Parts), "head": head, "begun": a.gotFirstToken, "after": r.lastEventID, "ms": clock.Now().Sub(a.sentAt).Milliseconds(), "cause": cause,
+	}).Info("an engine's answer broke off")
+}
+
+// sharedParts returns the ids of the parts of a prompt that other requests may have too: all but the
+// last one.
+func sharedParts(parts []router.Part) []string {
+	var ids []string
+	for _, p := range parts[:max(0, len(parts)-1)] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
 // mayResend reports whether the rule allows a request that may have been executed to be sent again.
 func (r *forwardRun) mayResend() bool {
 	return r.req.Rule.Retry != desired.RetryNever && r.attemptsSent < r.req.Rule.MaxAttempts()
