targets: instances know the software version that a target announces

The version of a target's software was not decoded. It is now part of its announcement, as an optional last field, so that announcements without one are read by an earlier version as before. routing.facts turns it on.

--- a/dispatch/assignment.go
+++ b/dispatch/assignment.go
@@ -23,7 +23,8 @@
 	Source      string // address of a target to fetch KV cache from; empty if there is none
 	Region      ident.RegionID
 	Version     string // version of the target's model
-	PrefillOnly bool   // the target only processes the prompt
+	Software    ident.SoftwareVersion
+	PrefillOnly bool // the target only processes the prompt
 
 	pool          *TargetPool
 	req           router.Request
@@ -58,7 +59,7 @@
 	r, _ := pool.table.Get(c.ID)
 	c = pool.router.Sent(now, c, req)
 	pool.running[c.ID]++
-	a := &Assignment{Choice: c, Address: r.Address, Region: r.Region, pool: pool, req: req, incarnation: r.Incarnation, sentAt: now, limited: pool.access(now, c.ID) != router.Unlimited, permit: taken}
+	a := &Assignment{Choice: c, Address: r.Address, Region: r.Region, Software: r.Software, pool: pool, req: req, incarnation: r.Incarnation, sentAt: now, limited: pool.access(now, c.ID) != router.Unlimited, permit: taken}
 	if source, ok := pool.table.Get(c.Source); ok {
 		a.Source = source.Address
 	}
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -122,7 +122,7 @@
 		nd.settings = settings.Settings{
 			Instance: nd.id, Region: ident.RegionID(regions[i%3]), Domain: ident.DomainID(regions[i%3] + "-a"),
 			Callers: ports[3*i], Control: ports[3*i+1], Peer: ports[3*i+2],
-			Log: settings.Log{Level: "debug"}, Routing: settings.Routing{Permits: true},
+			Log: settings.Log{Level: "debug"}, Routing: settings.Routing{Permits: true, Facts: true},
 		}
 		if i < voters {
 			nd.settings.Data = filepath.Join(c.folder, string(nd.id))
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -41,6 +41,10 @@
 // Incarnation counts the starts of a target. A larger value supersedes a smaller one.
 type Incarnation uint64
 
+// SoftwareVersion is the version of the software that a target runs, which is not the version of its
+// model. Versions are only compared for equality. It is empty if the target names none.
+type SoftwareVersion string
+
 // AttemptID identifies one attempt to execute a request at a target.
 type AttemptID string
 
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -103,7 +103,7 @@
 // package platform.
 func (in *Instance) mountPlatform(r chi.Router) {
 	as := &platform.AnnouncementHandler{
-		Domains: in.settings.Domains, Lease: in.settings.TargetLease(), Log: in.log,
+		Domains: in.settings.Domains, Lease: in.settings.TargetLease(), Versions: in.settings.Routing.Facts, Log: in.log,
 		PrefillRates: map[desired.Role]ident.TokensPerSecond{
 			desired.RolePrefill: in.settings.Routing.Prefill, desired.RoleMixed: in.settings.Routing.Mixed,
 		},
@@ -145,12 +145,12 @@
 	}
 	old, known := in.targetPool.Record(a.Target)
 	in.targetPool.Announce(clock.Now(), a)
-	if known && old.Incarnation == a.Incarnation && old.Leaving == a.Leaving && old.Address == a.Address && roleOf(old.Engine) == roleOf(a.Engine) {
+	if known && old.Incarnation == a.Incarnation && old.Leaving == a.Leaving && old.Address == a.Address && old.Software == a.Software && roleOf(old.Engine) == roleOf(a.Engine) {
 		return nil
 	}
 	in.log.WithFields(logrus.Fields{
 		"event": "target_changed", "target": a.Target, "service": a.Service, "address": a.Address, "start": a.Incarnation,
-		"sequence": a.Sequence, "leaving": a.Leaving, "role": roleOf(a.Engine),
+		"sequence": a.Sequence, "leaving": a.Leaving, "role": roleOf(a.Engine), "software": a.Software,
 	}).Info("target announced a change")
 	return nil
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -57,7 +57,7 @@
 	in, err := instance.New(&settings.Settings{
 		Instance: "demo", Region: "north", Domain: "north-a",
 		Callers: ephemeralAddr, Control: ephemeralAddr, Peer: ephemeralAddr, Data: folder,
-		Routing: settings.Routing{Permits: true},
+		Routing: settings.Routing{Permits: true, Facts: true},
 	}, cli.Logger(io.Discard, "error"))
 	if err != nil {
 		return err
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -152,6 +152,9 @@
 	// Permits lets the leader grant permits for requests to targets that name a rate limit; see package
 	// permit. Without it, limits are only observed. Earlier versions do not support its messages.
 	Permits bool `json:"permits,omitempty"`
+	// Facts lets instances share facts through the voters; see package fact. It is turned on when every
+	// instance runs a version that knows them.
+	Facts bool `json:"facts,omitempty"`
 	// Learn lets instances estimate from the outcomes of requests how long engines take.
 	Learn bool `json:"learn,omitempty"`
 	// Prefill and Mixed are the rates, in prompt tokens per second, of engines in these roles that
--- a/target/announce.go
+++ b/target/announce.go
@@ -51,6 +51,8 @@
 	Load        Load              `json:"load" msgpack:"load"`
 	Engine      *EngineReport     `json:"engine,omitempty" msgpack:"engine"`
 	Cache       []CacheEvent      `json:"cache,omitempty" msgpack:"cache"`
+	// Software is the version of the target's software.
+	Software ident.SoftwareVersion `json:"software,omitempty" msgpack:"software"`
 }
 
 // Load is the load that a target reports. It may be out of date when it arrives.
--- a/target/shared.go
+++ b/target/shared.go
@@ -6,7 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/internal/net/fields"
 )
 
 // After a start of the cluster or of the voters, hundreds of instances request thousands
@@ -26,11 +26,10 @@
 var (
 	_ msgpack.CustomEncoder = Shared{}
 	_ msgpack.CustomDecoder = (*Shared)(nil)
+	_ msgpack.CustomEncoder = (*Announcement)(nil)
+	_ msgpack.CustomDecoder = (*Announcement)(nil)
 )
 
-// sharedFieldCount is the number of fields in the encoding of Shared.
-const sharedFieldCount = 3
-
 // shared returns the record as an entry of a listing. It caches the encoding.
 func (r *Record) shared(remaining time.Duration) Shared {
 	if r.listing.encoded == nil {
@@ -56,23 +55,23 @@
 
 // EncodeMsgpack writes s as an array of its exported fields.
 func (s Shared) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(sharedFieldCount); err != nil {
-		return err
-	}
 	if s.encoded == nil {
-		return enc.EncodeMulti(s.Number, &s.Announcement, s.Remaining)
+		return fields.Encode(enc, 0, s.Number, &s.Announcement, s.Remaining)
 	}
-	return enc.EncodeMulti(s.Number, s.encoded, s.Remaining)
+	return fields.Encode(enc, 0, s.Number, s.encoded, s.Remaining)
 }
 
 // DecodeMsgpack reads the encoding of EncodeMsgpack.
 func (s *Shared) DecodeMsgpack(dec *msgpack.Decoder) error {
-	n, err := dec.DecodeArrayLen()
-	if err != nil {
-		return err
-	}
-	if n != sharedFieldCount {
-		return fault.New(fault.FrameInvalid, "announcement in a listing has %d fields, want %d", n, sharedFieldCount)
-	}
-	return dec.DecodeMulti(&s.Number, &s.Announcement, &s.Remaining)
+	return fields.Decode(dec, 0, &s.Number, &s.Announcement, &s.Remaining)
+}
+
+// EncodeMsgpack encodes a. Software is optional.
+func (a *Announcement) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return fields.Encode(enc, 1, a.Target, a.Service, a.Address, a.Region, a.Domain, a.Incarnation, a.Sequence, a.Lease, a.Leaving, a.Load, a.Engine, a.Cache, a.Software)
+}
+
+// DecodeMsgpack decodes a.
+func (a *Announcement) DecodeMsgpack(dec *msgpack.Decoder) error {
+	return fields.Decode(dec, 1, &a.Target, &a.Service, &a.Address, &a.Region, &a.Domain, &a.Incarnation, &a.Sequence, &a.Lease, &a.Leaving, &a.Load, &a.Engine, &a.Cache, &a.Software)
 }
