quarantine: a part of a prompt that crashes engines is refused once its crashes have shown it

Callers saw answers break off at one engine after the other: requests with one part in their prompts ended each engine that began to write an answer, and were sent to the next one, by our retries and by theirs. Cause: an attempt that breaks off counted against the engine only, so nobody connected the ends of engines with what the requests had in common; each of the instances saw a few of them.

Every instance now tells the voters which shared parts were at an engine that crashed before the first event of an answer, and on which suspects answers began; the voters read each other's facts, add the evidence up, and every instance learns by a long poll which parts are in quarantine (packages quarantine, fact). A request with such a part is refused at once, before each attempt too. Two crashes after the head of an answer, or three of any kind, are needed; an answer that began counts as much as a crash; what a quarantined part explains is no evidence against others.

--- a/dispatch/backend.go
+++ b/dispatch/backend.go
@@ -102,6 +102,8 @@
 	Prefill(ctx context.Context, c Call) (*KVCacheRef, Outcome)
 	// Release frees KV cache that will not be used.
 	Release(ctx context.Context, c *KVCacheRef)
+	// Reachable reports whether a target accepts connections at an address.
+	Reachable(ctx context.Context, address string) bool
 }
 
 // Sink receives the answer to a forwarded request. Begin is called once, before the first Write.
--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -81,7 +81,7 @@
 	r.mayHaveRun = true
 	r.avoid = a.Choice.ID
 	if ctx.Err() == nil {
-		r.recordBroken(a, true, err)
+		r.recordBroken(ctx, a, true, err)
 	}
 	retry = r.mayResend() && (!r.headerSent || r.req.Rule.Retry == desired.RetryResume)
 	return retry, fault.New(fault.TargetFailed, "target %s: answer truncated: %v", a.Choice.ID, err)
@@ -137,6 +137,9 @@
 		r.longestPause = max(r.longestPause, pause)
 		r.d.cfg.Metrics.InterTokenLatency("", ident.ClassID(r.req.Rule.Name), pause)
 	}
+	if !a.gotFirstToken {
+		r.recordBegun(a)
+	}
 	a.FirstToken()
 	r.lastByteAt = now
 	if !r.headerSent {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -38,6 +38,7 @@
 	Plain      *plain.Client
 	Backend    Backend         // sends forwarded requests; nil if there are none
 	Placement  PlacementClient // chooses engines for forwarded requests; nil if this instance does
+	Facts      *Facts          // shared with the other instances; nil if none are
 	Receipts   *receipt.Runner
 	Metrics    *metrics.Metrics
 	Log        *logrus.Entry
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -28,6 +28,9 @@
 	// maxUnreachedTargets bounds the attempts of one request that find no usable target or KV cache
 	// at the address; see forwardRun.unreached.
 	maxUnreachedTargets = 3
+	// crashCheckTimeout bounds the time to find out whether an engine has crashed: a round trip
+	// between regions.
+	crashCheckTimeout = 100 * time.Millisecond
 )
 
 // TruncatedAnswerError means that an answer was truncated after its headers had been sent. The
@@ -146,6 +149,9 @@
 func (r *forwardRun) admit(ctx context.Context) error {
 	r.admitted = admit.Request{Class: ident.ClassID(r.req.Rule.Name), Objective: r.objective()}
 	if r.hasEngines {
+		if err := r.checkParts(); err != nil {
+			return err
+		}
 		if err := r.estimateCost(ctx); err != nil {
 			return err
 		}
@@ -274,6 +280,9 @@
 }
 
 func (r *forwardRun) choose(ctx context.Context, stage router.Stage, from ident.RegionID, objective time.Duration) (*Assignment, error) {
+	if err := r.checkParts(); err != nil {
+		return nil, err
+	}
 	req := r.routeRequest(stage)
 	req.KVRegion = from
 	assigned, err := r.place(ctx, req, objective)
@@ -368,7 +377,7 @@
 		r.reached = true
 		r.mayHaveRun = true
 		if ctx.Err() == nil {
-			r.recordBroken(a, false, o.Err)
+			r.recordBroken(ctx, a, false, o.Err)
 		}
 		return r.mayResend(), fault.New(fault.TargetFailed, "target %s: %v", a.Choice.ID, o.Err)
 	default:
@@ -405,9 +414,10 @@
 
 // recordBroken records that the target gave no complete answer, although the caller was still there.
 // head is set if the head of the answer arrived.
-func (r *forwardRun) recordBroken(a *Assignment, head bool, cause error) {
+func (r *forwardRun) recordBroken(ctx context.Context, a *Assignment, head bool, cause error) {
 	a.ReportAnswer(true)
 	a.MarkFailed()
+	r.recordCrash(ctx, a, head)
 	if !r.hasEngines {
 		return
 	}
--- a/dispatch/forward_test.go
+++ b/dispatch/forward_test.go
@@ -53,6 +53,9 @@
 	return &KVCacheRef{Address: c.Address, Handle: fmt.Sprint("h", s.prefills)}, Answered{Status: http.StatusOK}
 }
 
+// Reachable reports that every target accepts connections.
+func (s *scriptedBackend) Reachable(context.Context, string) bool { return true }
+
 func (s *scriptedBackend) Release(_ context.Context, c *KVCacheRef) {
 	s.released = append(s.released, c.Handle)
 }
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -50,6 +50,7 @@
 	Timeout
 	HeaderTooLarge
 	TargetLimited
+	PartQuarantined
 	kindCount // number of kinds; must be last
 )
 
@@ -108,6 +109,7 @@
 	FrameInvalid:        {http.StatusBadRequest, "frame_invalid", RanNo, 0},
 	HeaderTooLarge:      {http.StatusRequestHeaderFieldsTooLarge, "header_too_large", RanNo, 0},
 	TargetLimited:       {http.StatusServiceUnavailable, "target_limited", RanNo, shortRetryDelay},
+	PartQuarantined:     {http.StatusServiceUnavailable, "part_quarantined", RanNo, longRetryDelay},
 	Timeout:             {http.StatusGatewayTimeout, "timeout", RanUnknown, shortRetryDelay},
 }
 
--- /dev/null
+++ b/instance/facthub.go
@@ -0,0 +1,198 @@
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/fact"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/feed"
+	"github.com/hickoryridge/hickoryridge/internal/task"
+	"github.com/hickoryridge/hickoryridge/peer"
+)
+
+const (
+	// factDeriveInterval is the interval at which a voter determines what follows from new facts.
+	factDeriveInterval = 25 * time.Millisecond
+	// factPollTime is the longest time for which a voter delays the reply to a poll for facts.
+	factPollTime = 1 * time.Second
+	// factPollTimeout bounds a poll. A voter that does not reply by then is replaced by another.
+	factPollTimeout = factPollTime + 500*time.Millisecond
+	// factRetryPause is the pause after a poll that failed.
+	factRetryPause = 100 * time.Millisecond
+	// relayCheckInterval is the interval at which a voter looks for new voters to read from.
+	relayCheckInterval = 500 * time.Millisecond
+)
+
+// factHub holds the facts at a voter and replies to the instances that read them. It is safe for
+// concurrent use.
+type factHub struct {
+	mu        sync.Mutex
+	collector *fact.Collector
+	derived   chan struct{} // closed when what follows from the facts changes
+	told      chan struct{} // closed when an instance tells facts
+}
+
+func newFactHub() *factHub {
+	return &factHub{collector: fact.NewCollector(rand.Uint64() | 1), derived: make(chan struct{}), told: make(chan struct{})}
+}
+
+// tell records facts that an instance tells.
+func (h *factHub) tell(t *peer.Tell) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.collector.Tell(clock.Now(), t.Instance, t.Boot, t.Sequence, t.Batch)
+	close(h.told)
+	h.told = make(chan struct{})
+}
+
+// merge records facts that other voters have been told.
+func (h *factHub) merge(batches []fact.Batch) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.collector.Merge(clock.Now(), batches)
+}
+
+// derive is the background task that determines what follows from the facts.
+func (h *factHub) derive(ctx context.Context) error {
+	return task.Every(ctx, factDeriveInterval, func(context.Context) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.collector.Derive(clock.Now()) {
+			close(h.derived)
+			h.derived = make(chan struct{})
+		}
+	})
+}
+
+// learn returns what follows from the facts, once that differs from what the instance has or some time
+// has passed.
+func (h *factHub) learn(ctx context.Context, l *peer.Learn) *peer.Learned {
+	h.mu.Lock()
+	_, mark := h.collector.Suspects()
+	changed := h.derived
+	h.mu.Unlock()
+	if mark == l.Seen {
+		wait(ctx, changed)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	suspects, mark := h.collector.Suspects()
+	return &peer.Learned{Missing: h.collector.Missing(l.Instance, l.Boot, l.Told), Mark: mark, Suspects: suspects}
+}
+
+// relay returns what this voter has been told since a cursor, once there is something or some time has
+// passed.
+func (h *factHub) relay(ctx context.Context, r *peer.Relay) *peer.Relayed {
+	batches, next, told := h.since(r.Since)
+	if len(batches) == 0 && next == r.Since {
+		wait(ctx, told)
+		batches, next, _ = h.since(r.Since)
+	}
+	return &peer.Relayed{Batches: batches, Next: next}
+}
+
+func (h *factHub) since(c feed.Cursor) ([]fact.Batch, feed.Cursor, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	batches, next := h.collector.Since(clock.Now(), c)
+	return batches, next, h.told
+}
+
+// wait waits for an event, for factPollTime at most.
+func wait(ctx context.Context, event <-chan struct{}) {
+	timeout := time.NewTimer(factPollTime)
+	defer timeout.Stop()
+	select {
+	case <-event:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+}
+
+// handleFacts processes a message about facts.
+func (in *Instance) handleFacts(ctx context.Context, b peer.Body) (peer.Body, error) {
+	if in.factHub == nil {
+		return nil, fault.New(fault.BadRequest, "this instance does not collect facts")
+	}
+	ctx, cancel := context.WithTimeout(ctx, handleTimeout)
+	defer cancel()
+	switch b := b.(type) {
+	case *peer.Tell:
+		in.factHub.tell(b)
+		return nil, nil
+	case *peer.Learn:
+		return in.factHub.learn(ctx, b), nil
+	case *peer.Relay:
+		return in.factHub.relay(ctx, b), nil
+	default:
+		return nil, fault.New(fault.FrameInvalid, "unexpected message of type %T about facts", b)
+	}
+}
+
+// relayFacts is the background task of a voter that reads what the other voters have been told.
+func (in *Instance) relayFacts(ctx context.Context) error {
+	reading := map[ident.InstanceID]chan struct{}{} // closed when a reader has ended
+	for {
+		for _, id := range in.roster.Voters() {
+			if id == in.settings.Instance || reading[id] != nil && !closed(reading[id]) {
+				continue
+			}
+			end := make(chan struct{})
+			reading[id] = end
+			go in.readFacts(ctx, id, end)
+		}
+		select {
+		case <-ctx.Done():
+			for _, end := range reading {
+				<-end
+			}
+			return ctx.Err()
+		case <-time.After(relayCheckInterval):
+		}
+	}
+}
+
+// readFacts reads what a voter has been told until it is no voter any more or ctx ends. It closes end when it
+// returns.
+func (in *Instance) readFacts(ctx context.Context, from ident.InstanceID, end chan<- struct{}) {
+	defer close(end)
+	var since feed.Cursor
+	for ctx.Err() == nil && slices.Contains(in.roster.Voters(), from) {
+		next, err := in.readFactsOnce(ctx, from, since)
+		if err == nil {
+			since = next
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(factRetryPause):
+		}
+	}
+}
+
+func (in *Instance) readFactsOnce(ctx context.Context, from ident.InstanceID, since feed.Cursor) (feed.Cursor, error) {
+	ctx, cancel := context.WithTimeout(ctx, factPollTimeout)
+	defer cancel()
+	relayed, err := callAs[*peer.Relayed](ctx, in.network.Call, from, &peer.Relay{Since: since})
+	if err != nil {
+		return since, err
+	}
+	in.factHub.merge(relayed.Batches)
+	return relayed.Next, nil
+}
+
+// closed reports whether a channel without values is closed.
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/instance/facts.go
@@ -0,0 +1,170 @@
+package instance
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryridge/hickoryridge/dispatch"
+	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/fact"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
+	"github.com/hickoryridge/hickoryridge/peer"
+)
+
+// factVoterSkip is the time for which a voter that did not reply to a poll for facts is not asked again
+// while there are others.
+const factVoterSkip = 1 * time.Second
+
+// factClient tells facts to a voter and learns from it what follows from the facts of all instances. It
+// is safe for concurrent use.
+type factClient struct {
+	in    *Instance
+	facts *dispatch.Facts
+
+	skipUntil map[ident.InstanceID]clock.Time // voters that did not reply; owned by learn
+
+	mu    sync.Mutex
+	voter ident.InstanceID // that this instance tells and asks; empty if there is none
+}
+
+func newFactClient(in *Instance) *factClient {
+	return &factClient{in: in, facts: dispatch.NewFacts(in.settings.Instance), skipUntil: map[ident.InstanceID]clock.Time{}}
+}
+
+// current returns the voter to use, which stays the same as long as it replies.
+func (c *factClient) current() ident.InstanceID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.voter
+}
+
+// choose returns the voter to use and whether it is another one than before. Instances spread over the
+// voters of their region by rendezvous hashing.
+func (c *factClient) choose(now clock.Time) (id ident.InstanceID, changed bool) {
+	best, bestNear, most := ident.InstanceID(""), false, uint64(0)
+	for _, v := range c.in.roster.Voters() {
+		if now.Before(c.skipUntil[v]) {
+			continue
+		}
+		near := c.in.near(v)
+		score := xxhash.Sum64String(string(v) + "\x00" + string(c.in.settings.Instance))
+		if best == "" || near && !bestNear || near == bestNear && score > most {
+			best, bestNear, most = v, near, score
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed = best != c.voter
+	c.voter = best
+	return best, changed
+}
+
+// near reports whether a voter is this instance or known to be in its region.
+func (in *Instance) near(voter ident.InstanceID) bool {
+	return voter == in.settings.Instance || in.placerClient != nil && in.placerClient.inRegion(voter)
+}
+
+// tell is the background task that tells facts as soon as there are any.
+func (c *factClient) tell(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.facts.Wanted():
+		}
+		to := c.current()
+		if to == "" {
+			continue // told once a voter is found
+		}
+		if b, s := c.facts.Take(clock.Now()); !b.Empty() {
+			c.send(to, &peer.Tell{Instance: c.in.settings.Instance, Boot: c.in.boot, Sequence: s, Batch: b})
+		}
+	}
+}
+
+func (c *factClient) send(to ident.InstanceID, t *peer.Tell) {
+	if to == c.in.settings.Instance {
+		c.in.factHub.tell(t)
+		return
+	}
+	c.in.network.Send(to, t)
+}
+
+// learn is the background task that learns what follows from the facts of all instances.
+func (c *factClient) learn(ctx context.Context) error {
+	var seen fact.Mark
+	for ctx.Err() == nil {
+		to, changed := c.choose(clock.Now())
+		if changed {
+			c.facts.Repeat(clock.Now())
+			c.in.log.WithFields(logrus.Fields{"event": "facts_from", "voter": to}).Info("facts are shared through this voter")
+		}
+		learned, err := c.poll(ctx, to, seen)
+		if err == nil {
+			seen = learned.Mark
+			c.apply(learned)
+			continue
+		}
+		c.skipUntil[to] = clock.Now().Add(factVoterSkip)
+		select {
+		case <-ctx.Done():
+		case <-time.After(factRetryPause):
+		}
+	}
+	return ctx.Err()
+}
+
+func (c *factClient) poll(ctx context.Context, to ident.InstanceID, seen fact.Mark) (*peer.Learned, error) {
+	if to == "" {
+		return nil, fault.New(fault.NoQuorum, "no voter has been found yet")
+	}
+	ctx, cancel := context.WithTimeout(ctx, factPollTimeout)
+	defer cancel()
+	request := &peer.Learn{Instance: c.in.settings.Instance, Boot: c.in.boot, Told: c.facts.Told(), Seen: seen}
+	if to == c.in.settings.Instance {
+		return c.in.factHub.learn(ctx, request), nil
+	}
+	return callAs[*peer.Learned](ctx, c.in.network.Call, to, request)
+}
+
+func (c *factClient) apply(l *peer.Learned) {
+	now := clock.Now()
+	if l.Missing {
+		c.facts.Repeat(now)
+	}
+	for _, change := range c.facts.Apply(now, l.Mark.Run, l.Suspects) {
+		c.in.logQuarantine(change)
+	}
+	c.in.metrics.Gauge("quarantined_parts", float64(len(c.facts.Quarantined(now))))
+}
+
+func (in *Instance) logQuarantine(c quarantine.Change) {
+	s := c.Suspect
+	event, text := "part_quarantined", "a part of prompts crashes engines; requests with it are refused"
+	if c.Ended {
+		event, text = "part_released", "requests with a part of prompts are no longer refused"
+	}
+	in.log.WithFields(logrus.Fields{
+		"event": event, "service": s.Part.Service, "software": s.Part.Software, "part": s.Part.ID, "crashes": s.Crashes, "answers": s.Answers, "until": s.Until.Milliseconds(),
+	}).Warn(text)
+}
+
+// callAs calls an instance and returns its reply as the given type.
+func callAs[T peer.Body](ctx context.Context, call func(context.Context, ident.InstanceID, peer.Body) (peer.Body, error), to ident.InstanceID, b peer.Body) (T, error) {
+	var zero T
+	reply, err := call(ctx, to, b)
+	if err != nil {
+		return zero, err
+	}
+	typed, ok := reply.(T)
+	if !ok {
+		return zero, fault.New(fault.Internal, "unexpected reply of type %T from %s", reply, to)
+	}
+	return typed, nil
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -73,6 +73,8 @@
 	dispatcher   *dispatch.Dispatcher
 	placerClient *placerClient    // nil if this instance selects targets itself
 	placer       *dispatch.Placer // selects targets for other instances; nil if disabled
+	factClient   *factClient      // shares facts through a voter; nil if disabled
+	factHub      *factHub         // the facts at this voter; nil if disabled or no voter
 	metrics      *metrics.Metrics
 	stopping     atomic.Bool
 	// lingering is closed when a stopping instance starts to linger.
@@ -134,11 +136,17 @@
 	if s.Routing.Place && s.Voter() {
 		in.placer = dispatch.NewPlacer(in.targetPool)
 	}
+	if s.Routing.Facts {
+		in.factClient = newFactClient(in)
+		if s.Voter() {
+			in.factHub = newFactHub()
+		}
+	}
 	in.dispatcher = dispatch.New(dispatch.Config{
 		Instance: s.Instance, Boot: boot, Gate: in.gate, Targets: in.targetPool, Engines: in.engines,
 		Plain: in.plain, Backend: &platform.Backend{Client: in.targetClient, Log: in.log}, Receipts: in.receipts, Metrics: in.metrics, Log: in.log, MaxRunning: s.RunningLimit(),
-		Placement: in.placing(),
-		Retries:   admit.RetryLimit{Ratio: s.Retries.Ratio, Window: s.Retries.Window.AsDuration(), Slack: s.Retries.Slack},
+		Placement: in.placing(), Facts: in.facts(),
+		Retries: admit.RetryLimit{Ratio: s.Retries.Ratio, Window: s.Retries.Window.AsDuration(), Slack: s.Retries.Slack},
 	})
 	if !s.Voter() {
 		return in, nil
@@ -161,6 +169,14 @@
 	return in.placerClient
 }
 
+// facts returns the facts that this instance shares, nil if it shares none.
+func (in *Instance) facts() *dispatch.Facts {
+	if in.factClient == nil {
+		return nil
+	}
+	return in.factClient.facts
+}
+
 // routing returns the router configuration for the given settings.
 func routing(s *settings.Settings) router.Config {
 	links := router.DefaultLinks()
@@ -266,6 +282,14 @@
 	if in.listeners.callers != nil || in.placer != nil {
 		g.Go("permits", in.acquirePermits)
 	}
+	if in.factClient != nil {
+		g.Go("facts tell", in.factClient.tell)
+		g.Go("facts learn", in.factClient.learn)
+	}
+	if in.factHub != nil {
+		g.Go("facts derive", in.factHub.derive)
+		g.Go("facts relay", in.relayFacts)
+	}
 	if in.placerClient != nil {
 		g.Go("locate", in.placerClient.locateVoters)
 		g.Go("notes", in.placerClient.sendNotes)
@@ -398,6 +422,8 @@
 			in.logLimits("placement", in.placer.Notify(b.Notes))
 		}
 		return nil, nil
+	case *peer.Tell, *peer.Learn, *peer.Relay:
+		return in.handleFacts(ctx, b)
 	case *peer.Form:
 		if in.voter == nil {
 			return nil, fault.New(fault.BadRequest, "this instance has no data folder")
--- a/instance/placing.go
+++ b/instance/placing.go
@@ -129,6 +129,13 @@
 	}
 }
 
+// inRegion reports whether a voter is known to be in this instance's region.
+func (p *placerClient) inRegion(voter ident.InstanceID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.picker.InRegion(voter)
+}
+
 // inUse reports whether a placer has recently selected targets for this instance.
 func (p *placerClient) inUse(now clock.Time) bool {
 	last := clock.Time(p.lastReply.Load())
--- a/internal/cluster/placer/placer.go
+++ b/internal/cluster/placer/placer.go
@@ -38,6 +38,9 @@
 // SetRegion sets the region of a voter.
 func (p *Picker) SetRegion(id ident.InstanceID, region ident.RegionID) { p.regions[id] = region }
 
+// InRegion reports whether a voter is known to be in the picker's region.
+func (p *Picker) InRegion(id ident.InstanceID) bool { return p.regions[id] == p.region }
+
 // UnknownRegion returns the voters whose region is not known.
 func (p *Picker) UnknownRegion(voters []ident.InstanceID) []ident.InstanceID {
 	var unknown []ident.InstanceID
--- /dev/null
+++ b/internal/cluster/quarantine/evidence.go
@@ -0,0 +1,219 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+)
+
+// Evidence adds up what all instances report. Use NewEvidence. It is not safe for concurrent use.
+type Evidence struct {
+	parts    map[Part]*record
+	released map[releasedPart]clock.Time // when the operator released it
+}
+
+// record is the evidence about one part.
+type record struct {
+	crashes map[Crash]crash
+	answers map[ident.InstanceID]answers
+	depth   int
+}
+
+type crash struct {
+	at     clock.Time
+	weight int
+}
+
+type answers struct {
+	count int
+	at    clock.Time
+}
+
+type releasedPart struct {
+	service ident.ServiceID
+	id      string
+}
+
+// NewEvidence returns empty evidence.
+func NewEvidence() *Evidence {
+	return &Evidence{parts: map[Part]*record{}, released: map[releasedPart]clock.Time{}}
+}
+
+// Add records a report.
+func (e *Evidence) Add(now clock.Time, r Report) {
+	for _, l := range r.Released {
+		e.release(now.Add(-l.Age), releasedPart{l.Service, l.ID})
+	}
+	for _, c := range r.Crashed {
+		e.addCrash(now.Add(-c.Age), c)
+	}
+	for _, a := range r.Answered {
+		e.addAnswers(now.Add(-a.Age), a)
+	}
+}
+
+func (e *Evidence) release(at clock.Time, p releasedPart) {
+	e.released[p] = max(e.released[p], at)
+	for part, r := range e.parts {
+		if part.Service == p.service && part.ID == p.id {
+			r.expire(at)
+		}
+	}
+}
+
+func (e *Evidence) addCrash(at clock.Time, c Crashed) {
+	if at <= e.released[releasedPart{c.Part.Service, c.Part.ID}] {
+		return
+	}
+	r := e.record(c.Part)
+	if r == nil {
+		return
+	}
+	r.depth = max(r.depth, c.Depth)
+	known, seen := r.crashes[c.Crash]
+	if !seen && len(r.crashes) >= maxCrashesPerPart {
+		return
+	}
+	weight := crashWeight
+	if c.Head {
+		weight = headWeight
+	}
+	if seen {
+		at = min(at, known.at)
+	}
+	r.crashes[c.Crash] = crash{at, max(weight, known.weight)}
+}
+
+// record returns the record of a part, which it creates if necessary, or nil if there are too many.
+func (e *Evidence) record(p Part) *record {
+	r := e.parts[p]
+	if r == nil && len(e.parts) < maxParts {
+		r = &record{crashes: map[Crash]crash{}, answers: map[ident.InstanceID]answers{}}
+		e.parts[p] = r
+	}
+	return r
+}
+
+// addAnswers records answers, also before the crash that they are reported for is known here.
+func (e *Evidence) addAnswers(at clock.Time, a Answered) {
+	r := e.record(a.Part)
+	if r == nil {
+		return
+	}
+	known := r.answers[a.Instance]
+	r.answers[a.Instance] = answers{max(known.count, a.Count), max(known.at, at)}
+}
+
+// Expire removes evidence that no longer counts.
+func (e *Evidence) Expire(now clock.Time) {
+	for part, r := range e.parts {
+		r.expire(now.Add(-EvidenceTime))
+		if len(r.crashes)+len(r.answers) == 0 {
+			delete(e.parts, part)
+		}
+	}
+	maps.DeleteFunc(e.released, func(_ releasedPart, at clock.Time) bool { return now.Sub(at) > EvidenceTime })
+}
+
+// expire removes the evidence up to a time.
+func (r *record) expire(until clock.Time) {
+	maps.DeleteFunc(r.crashes, func(_ Crash, c crash) bool { return c.at <= until })
+	maps.DeleteFunc(r.answers, func(_ ident.InstanceID, a answers) bool { return a.at <= until })
+}
+
+// candidate is a part with the evidence about it while suspects are determined.
+type candidate struct {
+	part    Part
+	record  *record
+	score   int // evidence against it
+	answers int // answers that began
+}
+
+// Suspects returns the parts with more evidence against than for them, the most suspect first, and at
+// most maxSuspects.
+func (e *Evidence) Suspects(now clock.Time) []Suspect {
+	e.Expire(now)
+	var open []candidate
+	for part, r := range e.parts {
+		open = append(open, candidate{part: part, record: r, answers: r.answerCount()})
+	}
+	explained := map[Crash]bool{} // by parts that are quarantined
+	var suspects []Suspect
+	for {
+		for i := range open {
+			open[i].score = open[i].record.score(explained)
+		}
+		open = slices.DeleteFunc(open, func(c candidate) bool { return c.net() <= 0 })
+		slices.SortFunc(open, func(a, b candidate) int { return compareCandidates(b, a) })
+		if len(open) == 0 || open[0].net() < threshold {
+			break
+		}
+		suspects = append(suspects, open[0].suspect(now))
+		for c := range open[0].record.crashes {
+			explained[c] = true
+		}
+		open = open[1:]
+	}
+	for _, c := range open[:min(len(open), max(0, maxSuspects-len(suspects)))] {
+		suspects = append(suspects, c.suspect(now))
+	}
+	return suspects
+}
+
+func (r *record) answerCount() int {
+	n := 0
+	for _, a := range r.answers {
+		n += a.count
+	}
+	return n
+}
+
+// score returns the weight of the crashes that are not explained, of which those within crashSpan
+// count once.
+func (r *record) score(explained map[Crash]bool) int {
+	var counted []crash
+	for id, c := range r.crashes {
+		if !explained[id] {
+			counted = append(counted, c)
+		}
+	}
+	slices.SortFunc(counted, func(a, b crash) int { return cmp.Compare(a.at, b.at) })
+	score := 0
+	for i := 0; i < len(counted); {
+		first, weight := counted[i].at, 0
+		for ; i < len(counted) && counted[i].at.Sub(first) < crashSpan; i++ {
+			weight = max(weight, counted[i].weight)
+		}
+		score += weight
+	}
+	return score
+}
+
+// net returns the evidence against the part less that for it.
+func (c candidate) net() int { return c.score - answerWeight*c.answers }
+
+// compareCandidates orders parts by suspicion: by the evidence, then by the place in the prompt, then by name
+// so that all voters agree.
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.net(), b.net()), cmp.Compare(a.record.depth, b.record.depth),
+		cmp.Compare(a.part.ID, b.part.ID), cmp.Compare(a.part.Software, b.part.Software), cmp.Compare(a.part.Service, b.part.Service),
+	)
+}
+
+func (c candidate) suspect(now clock.Time) Suspect {
+	first, last := clock.Time(0), clock.Time(0)
+	for _, k := range c.record.crashes {
+		if first == 0 || k.at < first {
+			first = k.at
+		}
+		last = max(last, k.at)
+	}
+	s := Suspect{Part: c.part, Crashes: len(c.record.crashes), Answers: c.answers, Until: time.Duration(last.Add(EvidenceTime).Sub(now))}
+	s.Quarantined = c.net() >= threshold && now.Sub(first) >= settleTime
+	return s
+}
--- /dev/null
+++ b/internal/cluster/quarantine/memory.go
@@ -0,0 +1,171 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+)
+
+const (
+	// generationTime is half of the time for which an instance remembers answers.
+	generationTime = 1 * time.Minute
+	// maxAnswered bounds the parts that are remembered in one generation.
+	maxAnswered = 8192
+	// reportInterval is the shortest time between two reports of answers on the same part.
+	reportInterval = 1 * time.Second
+	// clearedCount is the number of answers from which an instance does not report a crash of a part:
+	// its answers outweigh what it could report.
+	clearedCount = 3
+	// changeGrace is the time for which a quarantine goes on after the voter that is asked has
+	// changed. By then, the new one has the evidence again.
+	changeGrace = 2 * time.Second
+)
+
+// Memory is what one instance knows: the answers that began here lately, and the suspects as the voters
+// determined them. Use NewMemory. It is not safe for concurrent use.
+type Memory struct {
+	instance ident.InstanceID
+	began    map[Part]int // answers in this generation
+	before   map[Part]int // answers in the generation before
+	rotated  clock.Time
+
+	run         uint64     // of the voter that determined the suspects
+	graceUntil  clock.Time // until then, parts that are not suspects stay in quarantine
+	suspects    map[Part]bool
+	quarantined map[Part]quarantined
+	reported    map[Part]clock.Time // last report of answers on a suspect
+}
+
+// quarantined is a part in quarantine.
+type quarantined struct {
+	suspect Suspect
+	until   clock.Time
+}
+
+// NewMemory returns the memory of an instance.
+func NewMemory(instance ident.InstanceID) *Memory {
+	return &Memory{
+		instance: instance, began: map[Part]int{}, before: map[Part]int{},
+		suspects: map[Part]bool{}, quarantined: map[Part]quarantined{}, reported: map[Part]clock.Time{},
+	}
+}
+
+// Began records that an answer began on the given parts. It returns a report if one of them is a
+// suspect.
+func (m *Memory) Began(now clock.Time, parts []Part) Report {
+	m.rotate(now)
+	var r Report
+	for _, p := range parts {
+		m.began[p]++
+		if m.suspects[p] {
+			r.Answered = m.appendAnswered(r.Answered, now, p)
+		}
+	}
+	return r
+}
+
+// rotate starts another generation if this one is old or full.
+func (m *Memory) rotate(now clock.Time) {
+	if now.Sub(m.rotated) < generationTime && len(m.began) < maxAnswered {
+		return
+	}
+	m.before, m.began = m.began, map[Part]int{}
+	m.rotated = now
+}
+
+// count returns the number of answers that began lately.
+func (m *Memory) count(p Part) int { return m.began[p] + m.before[p] }
+
+// appendAnswered appends a statement about a suspect if there are answers to report and the last
+// report is old enough.
+func (m *Memory) appendAnswered(to []Answered, now clock.Time, p Part) []Answered {
+	n := m.count(p)
+	if at, reported := m.reported[p]; n == 0 || reported && now.Sub(at) < reportInterval {
+		return to
+	}
+	m.reported[p] = now
+	return append(to, Answered{Part: p, Instance: m.instance, Count: n})
+}
+
+// Crashed returns the report of a crash of the engine that a request with the given shared parts was
+// at. No event of its answer had come; head is set if the head had.
+func (m *Memory) Crashed(parts []Part, c Crash, head bool) Report {
+	var r Report
+	for depth, p := range parts {
+		n := m.count(p)
+		if n >= clearedCount || len(p.ID) > MaxPartLength {
+			continue
+		}
+		r.Crashed = append(r.Crashed, Crashed{Part: p, Crash: c, Head: head, Depth: depth})
+		if n > 0 {
+			r.Answered = append(r.Answered, Answered{Part: p, Instance: m.instance, Count: n})
+		}
+	}
+	return r
+}
+
+// Change is what became of the quarantine of a part.
+type Change struct {
+	Suspect Suspect
+	Ended   bool
+}
+
+// Apply replaces the suspects by those that a run of a voter determined. It returns the quarantines
+// that began or ended here, and the report that is due on the suspects.
+func (m *Memory) Apply(now clock.Time, run uint64, suspects []Suspect) ([]Change, Report) {
+	if run != m.run {
+		m.run, m.graceUntil = run, now.Add(changeGrace)
+	}
+	var changed []Change
+	var due Report
+	m.suspects = map[Part]bool{}
+	stays := map[Part]bool{}
+	for _, s := range suspects {
+		m.suspects[s.Part] = true
+		due.Answered = m.appendAnswered(due.Answered, now, s.Part)
+		if !s.Quarantined {
+			continue
+		}
+		stays[s.Part] = true
+		if _, already := m.quarantined[s.Part]; !already {
+			changed = append(changed, Change{Suspect: s})
+		}
+		m.quarantined[s.Part] = quarantined{s, now.Add(s.Until)}
+	}
+	for p, q := range m.quarantined {
+		if !stays[p] && !now.Before(m.graceUntil) || !now.Before(q.until) {
+			changed = append(changed, Change{Suspect: q.suspect, Ended: true})
+			delete(m.quarantined, p)
+		}
+	}
+	maps.DeleteFunc(m.reported, func(p Part, _ clock.Time) bool { return !m.suspects[p] })
+	return changed, due
+}
+
+// Quarantined returns the first of the given parts of a service that is in quarantine at any version,
+// with the time until its quarantine ends.
+func (m *Memory) Quarantined(now clock.Time, service ident.ServiceID, ids []string) (Part, time.Duration, bool) {
+	for p, q := range m.quarantined {
+		if p.Service == service && now.Before(q.until) && slices.Contains(ids, p.ID) {
+			return p, q.until.Sub(now), true
+		}
+	}
+	return Part{}, 0, false
+}
+
+// List returns the parts in quarantine, sorted by id.
+func (m *Memory) List(now clock.Time) []Suspect {
+	var list []Suspect
+	for _, q := range m.quarantined {
+		if now.Before(q.until) {
+			q.suspect.Until = q.until.Sub(now)
+			list = append(list, q.suspect)
+		}
+	}
+	slices.SortFunc(list, func(a, b Suspect) int { return cmp.Compare(a.Part.ID, b.Part.ID) })
+	return list
+}
--- /dev/null
+++ b/internal/cluster/quarantine/quarantine.go
@@ -0,0 +1,150 @@
+// Package quarantine decides which part of a prompt crashes the engines that answer it.
+//
+// A prompt consists of parts, of which all but the last may occur in other prompts too. If an engine
+// cannot process one of them, it crashes when it begins to write an answer, and the requests with
+// that part are sent to the next engine, by retries of this system and by new requests. Each of
+// hundreds of instances may see one crash only. So every instance reports what it saw, and the
+// voters add it up.
+//
+// A crash is evidence against every shared part of the requests that were at the engine and had no
+// event of an answer yet, because the crash alone does not tell which one caused it. It is stronger
+// evidence if the head of the answer had come. An answer that begins is evidence for all of its parts
+// and counts as much as the strongest crash. The part before the deadly one, which sound requests
+// share, is thereby cleared, and so are the parts of requests that happened to be at the same engine.
+//
+// Crashes at the same moment count once for a part, because an outage that no request causes hits
+// many engines. Where two parts are in the same crashes, the one later in the prompt is blamed:
+// prompts share their beginnings. A crash that a quarantined part explains is no evidence against
+// other parts.
+//
+// Evidence is kept by version of the engines' software, since a part may crash one version only. It
+// counts for EvidenceTime, so a quarantine ends by itself, and an operator can end it before.
+//
+// Evidence is the part of a voter, Memory that of an instance which sends requests. Neither holds a
+// lock or reads a clock: the caller serializes access and passes the time. All that instances
+// report has the same effect if it is reported again.
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/ident"
+)
+
+const (
+	// EvidenceTime is the time for which a crash or an answer counts.
+	EvidenceTime = 2 * time.Minute
+	// settleTime is the time from the first crash of a part until it may be quarantined, within which
+	// the instances that have seen answers with the part report them.
+	settleTime = 300 * time.Millisecond
+	// crashSpan is the time within which crashes count once for a part.
+	crashSpan = 50 * time.Millisecond
+)
+
+// Weights of evidence. A part is quarantined after two crashes with the head of an answer, or after
+// three crashes of any kind.
+const (
+	headWeight   = 3 // a crash after the head of the answer
+	crashWeight  = 2 // a crash without
+	answerWeight = 3 // an answer that began
+	threshold    = 6
+)
+
+// Bounds of what is kept.
+const (
+	maxParts          = 4096
+	maxCrashesPerPart = 64
+	maxSuspects       = 64 // besides those in quarantine
+	// MaxPartLength is the length of the longest part id that is recorded, in bytes.
+	MaxPartLength = 128
+)
+
+// Part is a part of a prompt at engines of one service and software version.
+type Part struct {
+	Service  ident.ServiceID       `json:"service" msgpack:"service"`
+	Software ident.SoftwareVersion `json:"software,omitempty" msgpack:"software"`
+	ID       string                `json:"part" msgpack:"part"`
+}
+
+// Crash identifies the end of one incarnation of a target.
+type Crash struct {
+	Target      ident.TargetID    `msgpack:"target"`
+	Incarnation ident.Incarnation `msgpack:"incarnation"`
+}
+
+// Report is evidence that an instance reports.
+type Report struct {
+	Crashed  []Crashed  `msgpack:"crashed"`
+	Answered []Answered `msgpack:"answered"`
+	Released []Released `msgpack:"released"`
+}
+
+// Empty reports whether r holds no evidence.
+func (r Report) Empty() bool { return len(r.Crashed)+len(r.Answered)+len(r.Released) == 0 }
+
+// Append returns the evidence of r and of another report.
+func (r Report) Append(other Report) Report {
+	return Report{
+		Crashed:  append(slices.Clip(r.Crashed), other.Crashed...),
+		Answered: append(slices.Clip(r.Answered), other.Answered...),
+		Released: append(slices.Clip(r.Released), other.Released...),
+	}
+}
+
+// Aged returns a copy of r with evidence that is older by d.
+func (r Report) Aged(d time.Duration) Report {
+	aged := Report{}.Append(r)
+	for i := range aged.Crashed {
+		aged.Crashed[i].Age += d
+	}
+	for i := range aged.Answered {
+		aged.Answered[i].Age += d
+	}
+	for i := range aged.Released {
+		aged.Released[i].Age += d
+	}
+	return aged
+}
+
+// Crashed states that a request with the part had no event of an answer when its engine crashed.
+type Crashed struct {
+	Part  Part          `msgpack:"part"`
+	Crash Crash         `msgpack:"crash"`
+	Head  bool          `msgpack:"head"`  // the head of the answer had come
+	Depth int           `msgpack:"depth"` // number of parts before it in the prompt
+	Age   time.Duration `msgpack:"age"`
+}
+
+// Answered states how many answers of an instance have begun on a part lately.
+type Answered struct {
+	Part     Part             `msgpack:"part"`
+	Instance ident.InstanceID `msgpack:"instance"`
+	Count    int              `msgpack:"count"`
+	Age      time.Duration    `msgpack:"age"`
+}
+
+// Released states that an operator ended the quarantine of a part, at all versions.
+type Released struct {
+	Service ident.ServiceID `msgpack:"service"`
+	ID      string          `msgpack:"part"`
+	Age     time.Duration   `msgpack:"age"`
+}
+
+// Suspect is a part with more evidence against it than for it.
+type Suspect struct {
+	Part        Part `json:"part" msgpack:"part"`
+	Crashes     int  `json:"crashes" msgpack:"crashes"`
+	Answers     int  `json:"answers" msgpack:"answers"`
+	Quarantined bool `json:"quarantined" msgpack:"quarantined"`
+	// Until is the time until a quarantine ends unless there are more crashes.
+	Until time.Duration `json:"until" msgpack:"until"`
+}
+
+// SameSuspects reports whether two lists name the same suspects for the same reasons.
+func SameSuspects(a, b []Suspect) bool {
+	return slices.EqualFunc(a, b, func(a, b Suspect) bool {
+		a.Until, b.Until = 0, 0
+		return a == b
+	})
+}
--- /dev/null
+++ b/internal/cluster/quarantine/quarantine_test.go
@@ -0,0 +1,195 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+)
+
+const start = clock.Time(time.Hour)
+
+func part(id string) Part { return Part{Service: "s", Software: "v1", ID: id} }
+
+// crashOf returns evidence of a crash against parts in the order of their prompt.
+func crashOf(target string, head bool, ids ...string) Report {
+	var r Report
+	for depth, id := range ids {
+		r.Crashed = append(r.Crashed, Crashed{Part: part(id), Crash: Crash{ident.TargetID(target), 1}, Head: head, Depth: depth})
+	}
+	return r
+}
+
+func answersOn(instance string, n int, ids ...string) Report {
+	var r Report
+	for _, id := range ids {
+		r.Answered = append(r.Answered, Answered{Part: part(id), Instance: ident.InstanceID(instance), Count: n})
+	}
+	return r
+}
+
+// at is a report with the time after start at which it arrives.
+type at struct {
+	ms     int
+	report Report
+}
+
+// TestEvidence shows which parts are in quarantine after which reports.
+func TestEvidence(t *testing.T) {
+	release := Report{Released: []Released{{Service: "s", ID: "dead"}}}
+	other := crashOf("t2", true, "dead")
+	other.Crashed[0].Part.Software = "v2"
+	for name, test := range map[string]struct {
+		reports []at
+		want    []string
+		after   int // ms
+	}{
+		"one crash": {[]at{{0, crashOf("t1", true, "dead")}}, nil, 1000},
+		"two crashes after the head": {
+			[]at{{0, crashOf("t1", true, "dead")}, {400, crashOf("t2", true, "dead")}}, []string{"dead"}, 1000},
+		"two crashes without": {
+			[]at{{0, crashOf("t1", false, "dead")}, {400, crashOf("t2", false, "dead")}}, nil, 1000},
+		"three crashes without": {
+			[]at{{0, crashOf("t1", false, "dead")}, {400, crashOf("t2", false, "dead")}, {800, crashOf("t3", false, "dead")}}, []string{"dead"}, 1000},
+		"the same crash seen by three instances": {
+			[]at{{0, crashOf("t1", true, "dead")}, {400, crashOf("t1", true, "dead")}, {800, crashOf("t1", true, "dead")}}, nil, 1000},
+		"an outage that ends many engines at once": {
+			[]at{{0, crashOf("t1", true, "dead")}, {10, crashOf("t2", true, "dead")}, {20, crashOf("t3", true, "dead")}, {30, crashOf("t4", true, "dead")}}, nil, 1000},
+		"not settled": {
+			[]at{{0, crashOf("t1", true, "dead")}, {100, crashOf("t2", true, "dead")}}, nil, 200},
+		"answers began": {
+			[]at{{0, crashOf("t1", true, "dead")}, {10, answersOn("i", 1, "dead")}, {400, crashOf("t2", true, "dead")}}, nil, 1000},
+		"an answer outweighs one crash only": {
+			[]at{{0, crashOf("t1", true, "dead")}, {10, answersOn("i", 1, "dead")}, {400, crashOf("t2", true, "dead")}, {800, crashOf("t3", true, "dead")}}, []string{"dead"}, 1000},
+		"answers known before the crash": {
+			[]at{{0, answersOn("i", 1, "dead")}, {10, crashOf("t1", true, "dead")}, {400, crashOf("t2", true, "dead")}}, nil, 1000},
+		"shared first part, no answer on it known": {
+			[]at{{0, crashOf("t1", true, "shared", "dead")}, {400, crashOf("t2", true, "shared", "dead")}}, []string{"dead"}, 1000},
+		"shared first part that crashes with others too": {
+			[]at{{0, crashOf("t1", true, "first", "a")}, {400, crashOf("t2", true, "first", "b")}, {800, crashOf("t3", true, "first", "c")}}, []string{"first"}, 1000},
+		"two deadly parts in different prompts": {
+			[]at{{0, crashOf("t1", true, "x")}, {200, crashOf("t2", true, "y")}, {400, crashOf("t3", true, "x")}, {600, crashOf("t4", true, "y")}}, []string{"x", "y"}, 1000},
+		"an innocent at the same engines": {
+			[]at{{0, crashOf("t1", true, "dead")}, {1, crashOf("t1", false, "rare")}, {400, crashOf("t2", true, "dead")}, {401, crashOf("t2", false, "rare")}, {800, crashOf("t3", false, "rare")}, {801, crashOf("t3", true, "dead")}},
+			[]string{"dead"}, 1000},
+		"another software version": {[]at{{0, crashOf("t1", true, "dead")}, {400, other}}, nil, 1000},
+		"lapsed": {
+			[]at{{0, crashOf("t1", true, "dead")}, {400, crashOf("t2", true, "dead")}}, nil, 121_000},
+		"released by an operator": {
+			[]at{{0, crashOf("t1", true, "dead")}, {400, crashOf("t2", true, "dead")}, {600, release}}, nil, 1000},
+		"crashes after the release": {
+			[]at{{0, crashOf("t1", true, "dead")}, {400, release}, {600, crashOf("t2", true, "dead")}, {900, crashOf("t3", true, "dead")}}, []string{"dead"}, 2000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forward, repeated := NewEvidence(), NewEvidence()
+			for _, r := range test.reports {
+				forward.Add(start.Add(time.Duration(r.ms)*time.Millisecond), r.report)
+			}
+			// Told again by another instance, in another order: the ages keep the times.
+			end := start.Add(time.Duration(test.after) * time.Millisecond)
+			for i := range test.reports {
+				r := test.reports[len(test.reports)-1-i]
+				aged := r.report.Aged(time.Duration(test.after-r.ms) * time.Millisecond)
+				repeated.Add(end, aged)
+				repeated.Add(end, aged)
+			}
+			for name, e := range map[string]*Evidence{"in order": forward, "repeated": repeated} {
+				if got := quarantinedIDs(e.Suspects(end)); fmt.Sprint(got) != fmt.Sprint(test.want) {
+					t.Errorf("%s: in quarantine %v, want %v", name, got, test.want)
+				}
+			}
+		})
+	}
+}
+
+func quarantinedIDs(suspects []Suspect) []string {
+	var ids []string
+	for _, s := range suspects {
+		if s.Quarantined {
+			ids = append(ids, s.Part.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// TestEvidenceIsBounded guards against memory that grows with the parts of crashed prompts.
+func TestEvidenceIsBounded(t *testing.T) {
+	e := NewEvidence()
+	for n := range 3 * maxParts {
+		e.Add(start, crashOf("t1", false, fmt.Sprint("p", n)))
+	}
+	for n := range 3 * maxCrashesPerPart {
+		e.Add(start.Add(time.Duration(n)*time.Second), crashOf(fmt.Sprint("t", n), true, "p1"))
+	}
+	if len(e.parts) > maxParts || len(e.parts[part("p1")].crashes) > maxCrashesPerPart {
+		t.Errorf("%d parts and %d crashes of one kept, want at most %d and %d", len(e.parts), len(e.parts[part("p1")].crashes), maxParts, maxCrashesPerPart)
+	}
+	if got := len(e.Suspects(start.Add(time.Second))); got > maxSuspects+1 {
+		t.Errorf("%d suspects listed, want at most %d and the one in quarantine", got, maxSuspects)
+	}
+}
+
+// TestMemoryReportsAnswers shows when an instance reports answers on a suspect, and what it leaves out.
+func TestMemoryReportsAnswers(t *testing.T) {
+	m := NewMemory("i")
+	now := start
+	if r := m.Began(now, []Part{part("a")}); !r.Empty() {
+		t.Errorf("an answer on a part that nobody suspects was reported: %+v", r)
+	}
+	_, due := m.Apply(now, 1, []Suspect{{Part: part("a")}, {Part: part("b")}})
+	if len(due.Answered) != 1 || due.Answered[0].Part != part("a") || due.Answered[0].Count != 1 {
+		t.Errorf("due on new suspects: %+v, want the answer on a", due)
+	}
+	if r := m.Began(now.Add(time.Millisecond), []Part{part("a")}); !r.Empty() {
+		t.Errorf("answers on the same part were reported twice within %v: %+v", reportInterval, r)
+	}
+	if r := m.Began(now.Add(reportInterval), []Part{part("b")}); len(r.Answered) != 1 {
+		t.Errorf("the first answer on a suspect was not reported: %+v", r)
+	}
+	m.Began(now, []Part{part("a")})
+	r := m.Crashed([]Part{part("a"), part("c")}, Crash{"t", 1}, true)
+	if len(r.Crashed) != 1 || r.Crashed[0].Part != part("c") || r.Crashed[0].Depth != 1 {
+		t.Errorf("reported on a crash: %+v, want only the part without answers", r)
+	}
+}
+
+// TestQuarantineOutlivesVoter guards against a quarantine that ends because the voter that is asked has
+// started again and knows nothing yet.
+func TestQuarantineOutlivesVoter(t *testing.T) {
+	m := NewMemory("i")
+	dead := Suspect{Part: part("dead"), Quarantined: true, Until: time.Minute}
+	quarantined := func(now clock.Time) bool {
+		_, _, found := m.Quarantined(now, "s", []string{"x", "dead"})
+		return found
+	}
+	if changed, _ := m.Apply(start, 1, []Suspect{dead}); len(changed) != 1 || !quarantined(start) {
+		t.Fatalf("changes %+v, quarantined %v", changed, quarantined(start))
+	}
+	now := start.Add(time.Second)
+	m.Apply(now, 2, nil)
+	if !quarantined(now) {
+		t.Error("not quarantined once another voter is asked")
+	}
+	m.Apply(now.Add(time.Second), 2, []Suspect{dead})
+	m.Apply(now.Add(changeGrace), 2, []Suspect{dead})
+	if !quarantined(now.Add(changeGrace)) {
+		t.Error("not quarantined although the voter says so")
+	}
+	changed, _ := m.Apply(now.Add(2*changeGrace), 2, nil)
+	if len(changed) != 1 || !changed[0].Ended || quarantined(now.Add(2*changeGrace)) {
+		t.Errorf("changes %+v after the voter released the part", changed)
+	}
+}
+
+// TestQuarantineLapses guards against a quarantine that never ends where no voter is reached.
+func TestQuarantineLapses(t *testing.T) {
+	m := NewMemory("i")
+	m.Apply(start, 1, []Suspect{{Part: part("dead"), Quarantined: true, Until: time.Minute}})
+	if _, _, found := m.Quarantined(start.Add(time.Minute), "s", []string{"dead"}); found {
+		t.Error("part is in quarantine after its time")
+	}
+}
--- a/internal/target/http1/client.go
+++ b/internal/target/http1/client.go
@@ -195,11 +195,26 @@
 	}
 }
 
+// Connect opens a new connection to addr and keeps it for a request.
+func (c *Client) Connect(ctx context.Context, addr string) error {
+	cn, err := c.open(ctx, addr)
+	if err != nil {
+		return err
+	}
+	c.putIdle(cn, c.opts.IdleTimeout)
+	return nil
+}
+
 // connect returns an idle connection to addr, or opens a new one.
 func (c *Client) connect(ctx context.Context, addr string) (*conn, error) {
 	if cn := c.takeIdle(addr); cn != nil {
 		return cn, nil
 	}
+	return c.open(ctx, addr)
+}
+
+// open opens a connection to addr.
+func (c *Client) open(ctx context.Context, addr string) (*conn, error) {
 	nc, err := tcp.Dial(ctx, addr, c.opts.Connection)
 	if err != nil {
 		return nil, err
--- a/peer/message.go
+++ b/peer/message.go
@@ -50,6 +50,11 @@
 	kindWorks
 	kindAcquire
 	kindAcquired
+	kindTell
+	kindLearn
+	kindLearned
+	kindRelay
+	kindRelayed
 	kindCount // number of kinds, including the unused 0
 )
 
@@ -332,6 +337,16 @@
 		return &Acquire{}
 	case kindAcquired:
 		return &Acquired{}
+	case kindTell:
+		return &Tell{}
+	case kindLearn:
+		return &Learn{}
+	case kindLearned:
+		return &Learned{}
+	case kindRelay:
+		return &Relay{}
+	case kindRelayed:
+		return &Relayed{}
 	default:
 		return nil
 	}
