forward: KV cache stays for the next attempt if no engine received the request

Cause: when the engine for the answer accepted no connection, nothing had been sent to it, so the next attempt was not counted as a retry; but it processed the prompt again at another engine, which is an arrival. Now the KV cache of the first engine is kept for the next attempt, and freed when there is none. TestSplitUnreachable: 3 prompts processed before, 1 now.

--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -58,6 +58,9 @@
 	admittedAt     clock.Time  // time of admission
 	windowReleased bool        // no longer counts against the window
 
+	prepared  *preparedPrompt // prompt that was processed apart and waits for an engine; nil if there is none
+	cacheKept bool            // the last attempt left the KV cache of prepared unused
+
 	attemptsSent int            // attempts that a target received
 	reached      bool           // some target received the request, whatever it did with it
 	unreached    int            // attempts with Unreachable, AddressReassigned or KVCacheGone
@@ -73,6 +76,12 @@
 	mayHaveRun   bool           // some attempt may have been executed
 }
 
+// preparedPrompt is a prompt that was processed at an engine which does not generate the answer.
+type preparedPrompt struct {
+	cache *KVCacheRef
+	at    *Assignment
+}
+
 // Forward sends a request to targets and its answer to sink. For an error, fault.ResponseOf says
 // whether the request ran. A TruncatedAnswerError means that the answer has begun and cannot be
 // completed.
@@ -237,6 +246,9 @@
 // attempt runs the request at one target, or processes its prompt at one engine and generates the
 // answer at another. After an error, retry says whether another attempt is allowed.
 func (r *forwardRun) attempt(ctx context.Context) (retry bool, err error) {
+	if r.prepared != nil {
+		return r.runPrepared(ctx)
+	}
 	assigned, err := r.preplaced, error(nil)
 	r.preplaced = nil
 	if assigned == nil {
@@ -258,14 +270,27 @@
 	if cache == nil {
 		return r.handleFailure(ctx, assigned, outcome)
 	}
-	decode, err := r.choose(ctx, router.StageDecode, assigned.Region, 0)
+	r.prepared = &preparedPrompt{cache, assigned}
+	return r.runPrepared(ctx)
+}
+
+// runPrepared generates the answer to a prompt that was processed at another engine. The KV cache stays
+// for another attempt if no engine received the request.
+func (r *forwardRun) runPrepared(ctx context.Context) (retry bool, err error) {
+	p := *r.prepared
+	decode, err := r.choose(ctx, router.StageDecode, p.at.Region, 0)
 	if err != nil {
-		r.releaseCache(ctx, assigned, cache)
+		r.releasePrepared(ctx)
 		return false, err
 	}
-	retry, err = r.runAt(ctx, decode, cache)
-	if err != nil && !r.headerSent {
-		r.releaseCache(ctx, assigned, cache)
+	r.cacheKept = false
+	retry, err = r.runAt(ctx, decode, p.cache)
+	switch {
+	case err != nil && retry && r.cacheKept:
+	case err != nil && !r.headerSent:
+		r.releasePrepared(ctx)
+	default:
+		r.prepared = nil
 	}
 	return retry, err
 }
@@ -326,15 +351,17 @@
 	return cache, outcome
 }
 
-// releaseCache frees KV cache that will not be used, at the engine that processed the prompt. An
+// releasePrepared frees KV cache that will not be used, at the engine that processed the prompt. An
 // engine with a rate limit frees it by itself after some time if there is no permit for the call.
-func (r *forwardRun) releaseCache(ctx context.Context, a *Assignment, cache *KVCacheRef) {
-	if !a.takePermit() {
+func (r *forwardRun) releasePrepared(ctx context.Context) {
+	p := r.prepared
+	r.prepared = nil
+	if !p.at.takePermit() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
-	r.d.cfg.Backend.Release(ctx, cache)
+	r.d.cfg.Backend.Release(ctx, p.cache)
 }
 
 // runAt runs the request at a target and relays its answer.
@@ -395,6 +422,7 @@
 	switch o.Reason {
 	case Unreachable:
 		r.unreached++
+		r.cacheKept = true
 		if ctx.Err() == nil {
 			a.MarkUnreachable()
 		}
@@ -402,6 +430,7 @@
 	case AddressReassigned:
 		a.MarkUnreachable()
 		r.unreached++
+		r.cacheKept = true
 		return r.unreached < maxUnreachedTargets, err
 	case KVCacheGone:
 		r.unreached++
--- a/dispatch/forward_test.go
+++ b/dispatch/forward_test.go
@@ -281,6 +281,36 @@
 	}
 }
 
+// TestSplitUnreachable guards against a prompt that is processed again, and not counted as a retry, each
+// time that the engine for the answer accepts no connection. The KV cache is still there.
+func TestSplitUnreachable(t *testing.T) {
+	for name, test := range map[string]struct {
+		outcomes []Outcome
+		calls    int
+		released int
+		fails    bool
+	}{
+		"reached in the end": {[]Outcome{notSent, addressReassigned, answer(200, events, nil)}, 3, 0, false},
+		"never reached":      {[]Outcome{notSent, notSent, notSent}, 3, 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &scriptedBackend{outcomes: test.outcomes}
+			d := newForwardDispatcher(t, b, desired.RolePrefill, desired.RoleMixed, desired.RoleMixed, desired.RoleMixed)
+			f := newForwardRequest(desired.ForwardRule{Retry: desired.RetryResume, Stream: true, Attempts: 2})
+			f.Parts = []router.Part{{ID: "a", Tokens: 9000}, {ID: "b", Tokens: 900}}
+			err := d.Forward(t.Context(), f, &recordingSink{})
+			if b.prefills != 1 || len(b.calls) != test.calls || len(b.released) != test.released || (err != nil) != test.fails {
+				t.Errorf("%d prompts, %d answers, released %v, error %v; want 1, %d, %d", b.prefills, len(b.calls), b.released, err, test.calls, test.released)
+			}
+			for i, c := range b.calls {
+				if c.Import == nil {
+					t.Errorf("answer %d without the KV cache", i)
+				}
+			}
+		})
+	}
+}
+
 // TestTimeLeft checks that a request ends at its deadline and that the error says correctly whether
 // it ran.
 func TestTimeLeft(t *testing.T) {
