--- a/cmd/hickoryctl/commands.go
+++ b/cmd/hickoryctl/commands.go
@@ -2,17 +2,20 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/url"
 	"os"
 	"strconv"
 	"text/tabwriter"
+	"time"
 
 	"github.com/hickoryridge/hickoryridge/caller"
 	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/instance"
 	"github.com/hickoryridge/hickoryridge/internal/cli"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
 	"github.com/hickoryridge/hickoryridge/operator"
 	"github.com/hickoryridge/hickoryridge/peer"
 )
@@ -152,13 +155,8 @@
 	if c.json {
 		return c.printJSON(list)
 	}
-	w := tabwriter.NewWriter(c.out, 0, 4, 2, ' ', 0)
-	row := func(cells ...string) {
-		for _, cell := range cells {
-			_, _ = w.Write([]byte(cell + "\t")) // flushed below
-		}
-		_, _ = w.Write([]byte("\n"))
-	}
+	w := newTable(c.out)
+	row := w.row
 	row("target", "service", "address", "region", "domain", "role", "usable", "limit")
 	for _, t := range list {
 		role, usable, limit := "", "no", ""
@@ -179,6 +177,50 @@
 	return cli.ExitOK
 }
 
+// table prints rows of cells in aligned columns.
+type table struct{ *tabwriter.Writer }
+
+func newTable(out io.Writer) table { return table{tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)} }
+
+// row adds a row. It is printed by Flush.
+func (t table) row(cells ...string) {
+	for _, cell := range cells {
+		_, _ = t.Write([]byte(cell + "\t")) // Flush returns the error
+	}
+	_, _ = t.Write([]byte("\n")) // as above
+}
+
+// parts prints the parts of prompts in quarantine.
+func parts(c *client, _ []string) int {
+	var list []quarantine.Suspect
+	if status, ok := c.call(http.MethodGet, "/v1/parts", nil, &list); !ok {
+		return exitCodeOf(status)
+	}
+	if c.json {
+		return c.printJSON(list)
+	}
+	w := newTable(c.out)
+	w.row("service", "part", "software", "crashes", "answers", "until")
+	for _, s := range list {
+		w.row(string(s.Part.Service), s.Part.ID, string(s.Part.Software), strconv.Itoa(s.Crashes), strconv.Itoa(s.Answers), s.Until.AsDuration().Round(time.Second).String())
+	}
+	if err := w.Flush(); err != nil {
+		return cli.ExitFailed
+	}
+	return cli.ExitOK
+}
+
+// release ends the quarantine of a part of prompts.
+func release(c *client, args []string) int {
+	var done map[string]bool
+	path := "/v1/parts/" + url.PathEscape(args[0]) + "/" + url.PathEscape(args[1])
+	if status, ok := c.call(http.MethodDelete, path, nil, &done); !ok {
+		return exitCodeOf(status)
+	}
+	c.printf("part %s of service %s: released; it is in quarantine again if it crashes engines\n", args[1], args[0])
+	return cli.ExitOK
+}
+
 // setDrained changes one target in the current document and submits the result under the
 // next number. If another operator has submitted that number in the meantime, the leader
 // refuses the change and the command can be retried.
--- a/cmd/hickoryctl/main.go
+++ b/cmd/hickoryctl/main.go
@@ -20,6 +20,8 @@
   targets                       print the targets that the instance has in its table
   drain TARGET                  stop sending new requests to a target
   undrain TARGET                send new requests to a drained target again
+  parts                         print the parts of prompts in quarantine, because they crash engines
+  release SERVICE PART          end the quarantine of a part of prompts
   receipt TENANT SERVICE KEY    print the receipt of a request that runs at most once
   explain REQUEST LOG...        reconstruct the outcome of a request from log files
   voter add INSTANCE            add an instance's disk as a voter, replacing its old disk
@@ -49,6 +51,8 @@
 	"targets": {args: 0, run: targets},
 	"drain":   {args: 1, run: func(c *client, args []string) int { return setDrained(c, args[0], true) }},
 	"undrain": {args: 1, run: func(c *client, args []string) int { return setDrained(c, args[0], false) }},
+	"parts":   {args: 0, run: parts},
+	"release": {args: 2, run: release},
 	"receipt": {args: 3, run: receipt},
 	"explain": {args: 2, variadic: true, run: explain},
 	"voter":   {args: 2, run: voter},
--- a/instance/facts.go
+++ b/instance/facts.go
@@ -151,7 +151,7 @@
 		event, text = "part_released", "requests with a part of prompts are no longer refused"
 	}
 	in.log.WithFields(logrus.Fields{
-		"event": event, "service": s.Part.Service, "software": s.Part.Software, "part": s.Part.ID, "crashes": s.Crashes, "answers": s.Answers, "until": s.Until.Milliseconds(),
+		"event": event, "service": s.Part.Service, "software": s.Part.Software, "part": s.Part.ID, "crashes": s.Crashes, "answers": s.Answers, "until": s.Until.AsDuration().Milliseconds(),
 	}).Warn(text)
 }
 
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -84,7 +84,11 @@
 	r := chi.NewRouter()
 	in.health().Mount(r)
 	r.Method(http.MethodGet, "/metrics", in.metrics.Handler())
-	operator.New(operator.Config{Leader: in.leader, Targets: in.targetPool.Records, Limits: in.targetPool.Limits, Local: in.localStatus, Log: in.log}).Mount(r)
+	cfg := operator.Config{Leader: in.leader, Targets: in.targetPool.Records, Limits: in.targetPool.Limits, Local: in.localStatus, Log: in.log}
+	if in.factClient != nil {
+		cfg.Parts = in.factClient.facts
+	}
+	operator.New(cfg).Mount(r)
 	target.NewAnnounceHandler(func(a target.Announcement) { in.targetPool.Announce(clock.Now(), a) }).Mount(r)
 	seed.Mount(r, in.seedInfo)
 	if in.settings.Protocol == settings.ProtocolPlatform {
--- a/internal/cluster/quarantine/evidence.go
+++ b/internal/cluster/quarantine/evidence.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
+	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 )
@@ -213,7 +213,7 @@
 		}
 		last = max(last, k.at)
 	}
-	s := Suspect{Part: c.part, Crashes: len(c.record.crashes), Answers: c.answers, Until: time.Duration(last.Add(EvidenceTime).Sub(now))}
+	s := Suspect{Part: c.part, Crashes: len(c.record.crashes), Answers: c.answers, Until: desired.Duration(last.Add(EvidenceTime).Sub(now))}
 	s.Quarantined = c.net() >= threshold && now.Sub(first) >= settleTime
 	return s
 }
--- a/internal/cluster/quarantine/memory.go
+++ b/internal/cluster/quarantine/memory.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 )
@@ -134,7 +135,7 @@
 		if _, already := m.quarantined[s.Part]; !already {
 			changed = append(changed, Change{Suspect: s})
 		}
-		m.quarantined[s.Part] = quarantined{s, now.Add(s.Until)}
+		m.quarantined[s.Part] = quarantined{s, now.Add(s.Until.AsDuration())}
 	}
 	for p, q := range m.quarantined {
 		if !stays[p] && !now.Before(m.graceUntil) || !now.Before(q.until) {
@@ -162,7 +163,7 @@
 	var list []Suspect
 	for _, q := range m.quarantined {
 		if now.Before(q.until) {
-			q.suspect.Until = q.until.Sub(now)
+			q.suspect.Until = desired.Duration(q.until.Sub(now))
 			list = append(list, q.suspect)
 		}
 	}
--- a/internal/cluster/quarantine/quarantine.go
+++ b/internal/cluster/quarantine/quarantine.go
@@ -29,6 +29,7 @@
 	"slices"
 	"time"
 
+	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/ident"
 )
 
@@ -138,7 +139,7 @@
 	Answers     int  `json:"answers" msgpack:"answers"`
 	Quarantined bool `json:"quarantined" msgpack:"quarantined"`
 	// Until is the time until a quarantine ends unless there are more crashes.
-	Until time.Duration `json:"until" msgpack:"until"`
+	Until desired.Duration `json:"until" msgpack:"until"`
 }
 
 // SameSuspects reports whether two lists name the same suspects for the same reasons.
--- a/internal/cluster/quarantine/quarantine_test.go
+++ b/internal/cluster/quarantine/quarantine_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 )
@@ -161,7 +162,7 @@
 // started again and knows nothing yet.
 func TestQuarantineOutlivesVoter(t *testing.T) {
 	m := NewMemory("i")
-	dead := Suspect{Part: part("dead"), Quarantined: true, Until: time.Minute}
+	dead := Suspect{Part: part("dead"), Quarantined: true, Until: desired.Duration(time.Minute)}
 	quarantined := func(now clock.Time) bool {
 		_, _, found := m.Quarantined(now, "s", []string{"x", "dead"})
 		return found
@@ -188,7 +189,7 @@
 // TestQuarantineLapses guards against a quarantine that never ends where no voter is reached.
 func TestQuarantineLapses(t *testing.T) {
 	m := NewMemory("i")
-	m.Apply(start, 1, []Suspect{{Part: part("dead"), Quarantined: true, Until: time.Minute}})
+	m.Apply(start, 1, []Suspect{{Part: part("dead"), Quarantined: true, Until: desired.Duration(time.Minute)}})
 	if _, _, found := m.Quarantined(start.Add(time.Minute), "s", []string{"dead"}); found {
 		t.Error("part is in quarantine after its time")
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -11,6 +11,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -22,6 +23,7 @@
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
 	"github.com/hickoryridge/hickoryridge/internal/reply"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/state"
@@ -52,10 +54,18 @@
 	Leader  Leader
 	Targets func() []target.Record
 	Limits  func() []permit.Limit // rate limits that targets have named
+	Parts   Parts                 // parts of prompts in quarantine; nil if there are none
 	Local   func() LocalStatus
 	Log     *logrus.Entry
 }
 
+// Parts gives access to the parts of prompts in quarantine.
+type Parts interface {
+	Quarantined(now clock.Time) []quarantine.Suspect
+	// Release ends the quarantine of a part at every instance.
+	Release(now clock.Time, service ident.ServiceID, part string)
+}
+
 // LocalStatus is the part of an instance's status that needs no request to the leader.
 type LocalStatus struct {
 	Instance     ident.InstanceID     `json:"instance"`
@@ -88,6 +98,8 @@
 	r.Post("/v1/check", s.check)
 	r.Get("/v1/status", s.status)
 	r.Get("/v1/targets", s.targets)
+	r.Get("/v1/parts", s.parts)
+	r.Delete("/v1/parts/{service}/{part}", s.releasePart)
 	r.Get("/v1/receipts/{tenant}/{service}/{key}", s.receipt)
 	r.Post("/v1/members", s.changeMember)
 }
@@ -262,6 +274,29 @@
 	reply.JSON(w, http.StatusOK, list)
 }
 
+func (s *Server) parts(w http.ResponseWriter, _ *http.Request) {
+	list := []quarantine.Suspect{}
+	if s.cfg.Parts != nil {
+		list = append(list, s.cfg.Parts.Quarantined(clock.Now())...)
+	}
+	reply.JSON(w, http.StatusOK, list)
+}
+
+func (s *Server) releasePart(w http.ResponseWriter, r *http.Request) {
+	service, part := ident.ServiceID(reply.PathParam(r, "service")), reply.PathParam(r, "part")
+	now := clock.Now()
+	known := s.cfg.Parts != nil && slices.ContainsFunc(s.cfg.Parts.Quarantined(now), func(q quarantine.Suspect) bool {
+		return q.Part.Service == service && q.Part.ID == part
+	})
+	if !known {
+		reply.Error(w, fault.New(fault.NotFound, "part %q of service %q is not in quarantine", part, service))
+		return
+	}
+	s.cfg.Parts.Release(now, service, part)
+	s.cfg.Log.WithFields(logrus.Fields{"event": "part_release_asked", "service": service, "part": part}).Info("an operator ends the quarantine of a part")
+	reply.JSON(w, http.StatusOK, map[string]bool{"done": true})
+}
+
 func (s *Server) receipt(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
 	defer cancel()
