--- a/instance/facthub.go
+++ b/instance/facthub.go
@@ -39,7 +39,7 @@
 }
 
 func newFactHub() *factHub {
-	return &factHub{collector: fact.NewCollector(rand.Uint64() | 1), derived: make(chan struct{}), told: make(chan struct{})}
+	return &factHub{collector: fact.NewCollector(clock.Now(), rand.Uint64() | 1), derived: make(chan struct{}), told: make(chan struct{})}
 }
 
 // tell records facts that an instance tells.
--- a/internal/cluster/fact/collector.go
+++ b/internal/cluster/fact/collector.go
@@ -16,6 +16,10 @@
 // change with time.
 const deriveInterval = 100 * time.Millisecond
 
+// warmUpTime is the time from the start of a voter until it puts parts in quarantine. By then the other
+// voters and the instances have told it again what speaks for a part, not only what speaks against.
+const warmUpTime = 2 * time.Second
+
 // Collector holds the facts that a voter has been told, and what follows from them. Use NewCollector.
 // It is not safe for concurrent use.
 type Collector struct {
@@ -24,6 +28,7 @@
 	evidence *quarantine.Evidence
 	mark     Mark
 	suspects []quarantine.Suspect
+	started  clock.Time
 	dirty    bool       // facts came since the last Derive
 	derived  clock.Time // last Derive
 }
@@ -34,11 +39,12 @@
 	last Sequence
 }
 
-// NewCollector returns an empty collector. run identifies the run of the voter and must not be 0.
-func NewCollector(run uint64) *Collector {
+// NewCollector returns an empty collector of a voter that starts now. run identifies the run of the voter
+// and must not be 0.
+func NewCollector(now clock.Time, run uint64) *Collector {
 	return &Collector{
 		log: feed.New[stamped](run, maxLogged), received: map[ident.InstanceID]received{},
-		evidence: quarantine.NewEvidence(), mark: Mark{Run: run},
+		evidence: quarantine.NewEvidence(), mark: Mark{Run: run}, started: now,
 	}
 }
 
@@ -91,6 +97,11 @@
 	}
 	c.dirty, c.derived = false, now
 	suspects := c.evidence.Suspects(now)
+	if now.Sub(c.started) < warmUpTime {
+		for i := range suspects {
+			suspects[i].Quarantined = false
+		}
+	}
 	changed := !quarantine.SameSuspects(suspects, c.suspects)
 	c.suspects = suspects
 	if changed {
--- a/internal/cluster/quarantine/memory.go
+++ b/internal/cluster/quarantine/memory.go
@@ -16,14 +16,15 @@
 	generationTime = 1 * time.Minute
 	// maxAnswered bounds the parts that are remembered in one generation.
 	maxAnswered = 8192
-	// reportInterval is the shortest time between two reports of answers on the same part.
+	// reportInterval is the shortest time between two reports of answers on the same part, unless
+	// their number has doubled.
 	reportInterval = 1 * time.Second
 	// clearedCount is the number of answers from which an instance does not report a crash of a part:
 	// its answers outweigh what it could report.
 	clearedCount = 3
 	// changeGrace is the time for which a quarantine goes on after the voter that is asked has
-	// changed. By then, the new one has the evidence again.
-	changeGrace = 2 * time.Second
+	// changed. By then, one that has just started has the evidence again.
+	changeGrace = 4 * time.Second
 )
 
 // Memory is what one instance knows: the answers that began here lately, and the suspects as the voters
@@ -38,7 +39,7 @@
 	graceUntil  clock.Time // until then, parts that are not suspects stay in quarantine
 	suspects    map[Part]bool
 	quarantined map[Part]quarantined
-	reported    map[Part]clock.Time // last report of answers on a suspect
+	reported    map[Part]reported // last report of answers on a suspect
 }
 
 // quarantined is a part in quarantine.
@@ -47,11 +48,17 @@
 	until   clock.Time
 }
 
+// reported is a report of answers.
+type reported struct {
+	at    clock.Time
+	count int
+}
+
 // NewMemory returns the memory of an instance.
 func NewMemory(instance ident.InstanceID) *Memory {
 	return &Memory{
 		instance: instance, began: map[Part]int{}, before: map[Part]int{},
-		suspects: map[Part]bool{}, quarantined: map[Part]quarantined{}, reported: map[Part]clock.Time{},
+		suspects: map[Part]bool{}, quarantined: map[Part]quarantined{}, reported: map[Part]reported{},
 	}
 }
 
@@ -84,11 +91,11 @@
 // appendAnswered appends a statement about a suspect if there are answers to report and the last
 // report is old enough.
 func (m *Memory) appendAnswered(to []Answered, now clock.Time, p Part) []Answered {
-	n := m.count(p)
-	if at, reported := m.reported[p]; n == 0 || reported && now.Sub(at) < reportInterval {
+	n, last := m.count(p), m.reported[p]
+	if n == 0 || n < 2*last.count && now.Sub(last.at) < reportInterval {
 		return to
 	}
-	m.reported[p] = now
+	m.reported[p] = reported{now, n}
 	return append(to, Answered{Part: p, Instance: m.instance, Count: n})
 }
 
@@ -143,7 +150,7 @@
 			delete(m.quarantined, p)
 		}
 	}
-	maps.DeleteFunc(m.reported, func(p Part, _ clock.Time) bool { return !m.suspects[p] })
+	maps.DeleteFunc(m.reported, func(p Part, _ reported) bool { return !m.suspects[p] })
 	return changed, due
 }
 
