quarantine: evidence told again late settles anew, and a grace covers earlier quarantines only

The trace shows: a voter stops; 1.5 s later its instances turn to another one and tell their crashes again, which are older than the time that evidence takes to settle, so a sound part was in quarantine at once, before the answers on it were told again some 40 ms later; and the instances kept it for 4 s, as if the voter before had determined it. Evidence now settles from the moment at which the voter hears of it, and the grace covers quarantines of an earlier voter only.

--- a/internal/cluster/fact/model_test.go
+++ b/internal/cluster/fact/model_test.go
@@ -20,9 +20,6 @@
 	pollPause = 25 * time.Millisecond
 	// pollTimeout is the time after which an instance turns to another voter.
 	pollTimeout = 1500 * time.Millisecond
-	// cutOff is the time after the stop of a voter for which the instances that told it facts may be
-	// without one. The answers that they know do not count then, so a sound part may be refused.
-	cutOff      = pollTimeout + 500*time.Millisecond
 	deadlyParts = 2
 )
 
@@ -36,8 +33,7 @@
 	runs      uint64
 	crashes   int
 	deadly    [deadlyParts]deadlyRecord
-	refused   []clock.Time // sound requests that were refused, but for those that cutOff allows
-	stoppedAt clock.Time   // last stop of a voter
+	refused   []clock.Time // sound requests that were refused
 	sound     int
 }
 
@@ -179,9 +175,7 @@
 	ids := []string{fmt.Sprint("first", m.rng.IntN(4)), fmt.Sprint("second", m.rng.IntN(50))}
 	m.sound++
 	if _, _, found := in.memory.Quarantined(m.Now, "s", ids); found {
-		if m.stoppedAt == 0 || m.Now.Sub(m.stoppedAt) > cutOff {
-			m.refused = append(m.refused, m.Now)
-		}
+		m.refused = append(m.refused, m.Now)
 		return
 	}
 	m.After(time.Duration(m.rng.IntN(300))*time.Millisecond, func() {
@@ -281,7 +275,6 @@
 		return
 	}
 	v.stopped = true
-	m.stoppedAt = m.Now
 	m.After(2*time.Second, func() { m.restart(v) })
 }
 
--- a/internal/cluster/quarantine/evidence.go
+++ b/internal/cluster/quarantine/evidence.go
@@ -21,6 +21,7 @@
 	crashes map[Crash]crash
 	answers map[ident.InstanceID]answers
 	depth   int
+	known   clock.Time // when this voter heard of the first crash, however old it was
 }
 
 type crash struct {
@@ -49,7 +50,7 @@
 		e.release(now.Add(-l.Age), releasedPart{l.Service, l.ID})
 	}
 	for _, c := range r.Crashed {
-		e.addCrash(now.Add(-c.Age), c)
+		e.addCrash(now, now.Add(-c.Age), c)
 	}
 	for _, a := range r.Answered {
 		e.addAnswers(now.Add(-a.Age), a)
@@ -65,7 +66,7 @@
 	}
 }
 
-func (e *Evidence) addCrash(at clock.Time, c Crashed) {
+func (e *Evidence) addCrash(now, at clock.Time, c Crashed) {
 	if at <= e.released[releasedPart{c.Part.Service, c.Part.ID}] {
 		return
 	}
@@ -73,6 +74,9 @@
 	if r == nil {
 		return
 	}
+	if len(r.crashes) == 0 {
+		r.known = now
+	}
 	r.depth = max(r.depth, c.Depth)
 	known, seen := r.crashes[c.Crash]
 	if !seen && len(r.crashes) >= maxCrashesPerPart {
@@ -206,14 +210,11 @@
 }
 
 func (c candidate) suspect(now clock.Time) Suspect {
-	first, last := clock.Time(0), clock.Time(0)
+	last := clock.Time(0)
 	for _, k := range c.record.crashes {
-		if first == 0 || k.at < first {
-			first = k.at
-		}
 		last = max(last, k.at)
 	}
 	s := Suspect{Part: c.part, Crashes: len(c.record.crashes), Answers: c.answers, Until: desired.Duration(last.Add(EvidenceTime).Sub(now))}
-	s.Quarantined = c.net() >= threshold && now.Sub(first) >= settleTime
+	s.Quarantined = c.net() >= threshold && now.Sub(c.record.known) >= settleTime
 	return s
 }
--- a/internal/cluster/quarantine/memory.go
+++ b/internal/cluster/quarantine/memory.go
@@ -36,7 +36,7 @@
 	rotated  clock.Time
 
 	run         uint64     // of the voter that determined the suspects
-	graceUntil  clock.Time // until then, parts that are not suspects stay in quarantine
+	graceUntil  clock.Time // until then, quarantines of earlier runs go on in any case
 	suspects    map[Part]bool
 	quarantined map[Part]quarantined
 	reported    map[Part]reported // last report of answers on a suspect
@@ -45,6 +45,7 @@
 // quarantined is a part in quarantine.
 type quarantined struct {
 	suspect Suspect
+	run     uint64 // that determined it last
 	until   clock.Time
 }
 
@@ -142,10 +143,11 @@
 		if _, already := m.quarantined[s.Part]; !already {
 			changed = append(changed, Change{Suspect: s})
 		}
-		m.quarantined[s.Part] = quarantined{s, now.Add(s.Until.AsDuration())}
+		m.quarantined[s.Part] = quarantined{s, run, now.Add(s.Until.AsDuration())}
 	}
 	for p, q := range m.quarantined {
-		if !stays[p] && !now.Before(m.graceUntil) || !now.Before(q.until) {
+		inGrace := q.run != run && now.Before(m.graceUntil)
+		if !stays[p] && !inGrace || !now.Before(q.until) {
 			changed = append(changed, Change{Suspect: q.suspect, Ended: true})
 			delete(m.quarantined, p)
 		}
--- a/internal/cluster/quarantine/quarantine.go
+++ b/internal/cluster/quarantine/quarantine.go
@@ -36,8 +36,8 @@
 const (
 	// EvidenceTime is the time for which a crash or an answer counts.
 	EvidenceTime = 2 * time.Minute
-	// settleTime is the time from the first crash of a part until it may be quarantined, within which
-	// the instances that have seen answers with the part report them.
+	// settleTime is the time from the first report of a crash with a part until the part may be
+	// quarantined, within which the instances that have seen answers with the part report them.
 	settleTime = 300 * time.Millisecond
 	// crashSpan is the time within which crashes count once for a part.
 	crashSpan = 50 * time.Millisecond
--- a/internal/cluster/quarantine/quarantine_test.go
+++ b/internal/cluster/quarantine/quarantine_test.go
@@ -97,10 +97,15 @@
 				repeated.Add(end, aged)
 				repeated.Add(end, aged)
 			}
-			for name, e := range map[string]*Evidence{"in order": forward, "repeated": repeated} {
-				if got := quarantinedIDs(e.Suspects(end)); fmt.Sprint(got) != fmt.Sprint(test.want) {
-					t.Errorf("%s: in quarantine %v, want %v", name, got, test.want)
-				}
+			if got := quarantinedIDs(forward.Suspects(end)); !slices.Equal(got, test.want) {
+				t.Errorf("in quarantine %v, want %v", got, test.want)
+			}
+			if got := quarantinedIDs(repeated.Suspects(end)); got != nil {
+				t.Errorf("told again: in quarantine %v before it is settled", got)
+			}
+			settled := end.Add(settleTime)
+			if got, want := quarantinedIDs(repeated.Suspects(settled)), quarantinedIDs(forward.Suspects(settled)); !slices.Equal(got, want) {
+				t.Errorf("told again: in quarantine %v, want %v", got, want)
 			}
 		})
 	}
