streams: go on only at the software version that began them

Callers got answers 200 whose events came from two software versions: within an answer that broke off and was sent on, and after they took a stream up at another instance. Cause: the version of a target's software was not known, and the one that began a stream was kept by nobody. With its first event a request is now bound to the version; prompts, KV cache, fetches and later attempts stay at it. Every instance tells the voters which version began which stream (package stream, told as facts), the voters remember it for as long as the stream may be taken up, and an instance that is asked to go on looks it up. If nobody knows, the stream goes on only if the service has had one version; else it is refused, as not run.

KV cache is not moved between versions any more, so prompts wait for the few engines of their version.

--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -131,6 +131,7 @@
 	now := clock.Now()
 	if !r.eventSent {
 		r.eventSent = true
+		r.bind(a)
 		r.recordFirstByte(now)
 	} else {
 		pause := now.Sub(r.lastByteAt)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -39,6 +39,7 @@
 	Backend    Backend         // sends forwarded requests; nil if there are none
 	Placement  PlacementClient // chooses engines for forwarded requests; nil if this instance does
 	Facts      *Facts          // shared with the other instances; nil if none are
+	Origins    StreamOrigins   // what began the streams of other instances; nil if it cannot be looked up
 	Receipts   *receipt.Runner
 	Metrics    *metrics.Metrics
 	Log        *logrus.Entry
--- a/dispatch/facts.go
+++ b/dispatch/facts.go
@@ -11,6 +11,7 @@
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/fact"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/stream"
 )
 
 // Facts holds what this instance has seen and tells the others, and what it has learned from them; see
@@ -21,11 +22,12 @@
 	mu     sync.Mutex
 	outbox fact.Outbox
 	memory *quarantine.Memory
+	begun  *stream.Memory // streams that this instance began
 }
 
 // NewFacts returns the empty facts of an instance.
 func NewFacts(instance ident.InstanceID) *Facts {
-	return &Facts{wanted: make(chan struct{}, 1), memory: quarantine.NewMemory(instance)}
+	return &Facts{wanted: make(chan struct{}, 1), memory: quarantine.NewMemory(instance), begun: stream.NewMemory(clock.Now())}
 }
 
 // Wanted returns the channel that signals that there may be facts to tell.
@@ -85,6 +87,22 @@
 	f.signal()
 }
 
+// streamBegun records what began streams.
+func (f *Facts) streamBegun(now clock.Time, b stream.Begun) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begun.Record(now, b)
+	f.outbox.Add(now, fact.Batch{Streams: []stream.Begun{b}})
+	f.signal()
+}
+
+// origin returns what began a stream, if this instance did.
+func (f *Facts) origin(now clock.Time, k stream.Key) (stream.Origin, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.begun.Find(now, k)
+}
+
 // signal signals that there are facts to tell. f.mu is held.
 func (f *Facts) signal() {
 	select {
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -61,19 +61,20 @@
 	prepared  *preparedPrompt // prompt that was processed apart and waits for an engine; nil if there is none
 	cacheKept bool            // the last attempt left the KV cache of prepared unused
 
-	attemptsSent int            // attempts that a target received
-	reached      bool           // some target received the request, whatever it did with it
-	unreached    int            // attempts with Unreachable, AddressReassigned or KVCacheGone
-	lastTarget   ident.TargetID // most recently chosen target
-	avoid        ident.TargetID // target that failed most recently
-	lastEventID  string         // id of the last event that was delivered
-	headerSent   bool           // status and headers have been sent to the caller
-	eventSent    bool           // the first event has been delivered
-	firstByteAt  clock.Time     // delivery of the first byte
-	lastByteAt   clock.Time     // most recent delivery
-	longestPause time.Duration  // longest time between two deliveries
-	sinkErr      error          // error of the sink; the caller has disconnected
-	mayHaveRun   bool           // some attempt may have been executed
+	attemptsSent int                    // attempts that a target received
+	reached      bool                   // some target received the request, whatever it did with it
+	unreached    int                    // attempts with Unreachable, AddressReassigned or KVCacheGone
+	software     *ident.SoftwareVersion // that the request is bound to; nil if it is to none
+	lastTarget   ident.TargetID         // most recently chosen target
+	avoid        ident.TargetID         // target that failed most recently
+	lastEventID  string                 // id of the last event that was delivered
+	headerSent   bool                   // status and headers have been sent to the caller
+	eventSent    bool                   // the first event has been delivered
+	firstByteAt  clock.Time             // delivery of the first byte
+	lastByteAt   clock.Time             // most recent delivery
+	longestPause time.Duration          // longest time between two deliveries
+	sinkErr      error                  // error of the sink; the caller has disconnected
+	mayHaveRun   bool                   // some attempt may have been executed
 }
 
 // preparedPrompt is a prompt that was processed at an engine which does not generate the answer.
@@ -93,6 +94,9 @@
 	if r.hasEngines {
 		r.blocks = router.PartBlockHashes(nil, f.Parts)
 	}
+	if err := r.takeUp(ctx); err != nil {
+		return r.fail(ctx, err)
+	}
 	if err := r.admit(ctx); err != nil {
 		return r.fail(ctx, err)
 	}
@@ -179,7 +183,7 @@
 // because the placer counts it.
 func (r *forwardRun) estimateCost(ctx context.Context) error {
 	if r.d.cfg.Placement != nil {
-		a, err := r.choose(ctx, router.StagePrefill, "", r.req.Rule.FirstEvent.AsDuration())
+		a, err := r.choose(ctx, r.routeRequest(router.StagePrefill), r.req.Rule.FirstEvent.AsDuration())
 		if err != nil {
 			return err
 		}
@@ -219,7 +223,7 @@
 	if !r.hasEngines {
 		stage = router.StageAny
 	}
-	return router.Request{Service: r.req.Service, Stage: stage, Prompt: r.promptTokens, Blocks: r.blocks, Parts: r.req.Parts, Avoid: r.avoid, Urgency: router.Urgency(max(0, -r.req.Rule.Priority))}
+	return router.Request{Service: r.req.Service, Stage: stage, Prompt: r.promptTokens, Blocks: r.blocks, Parts: r.req.Parts, Avoid: r.avoid, Urgency: router.Urgency(max(0, -r.req.Rule.Priority)), Software: r.software}
 }
 
 // runAttempts tries targets until the answer is complete or no further attempt is allowed.
@@ -252,7 +256,7 @@
 	assigned, err := r.preplaced, error(nil)
 	r.preplaced = nil
 	if assigned == nil {
-		assigned, err = r.choose(ctx, router.StagePrefill, "", 0)
+		assigned, err = r.choose(ctx, r.routeRequest(router.StagePrefill), 0)
 	}
 	if err != nil {
 		return false, err
@@ -275,13 +279,23 @@
 }
 
 // runPrepared generates the answer to a prompt that was processed at another engine. The KV cache stays
-// for another attempt if no engine received the request.
+// for another attempt if no engine received the request. It is used only by engines of the same
+// software version; if there is none, another engine processes the prompt again.
 func (r *forwardRun) runPrepared(ctx context.Context) (retry bool, err error) {
 	p := *r.prepared
-	decode, err := r.choose(ctx, router.StageDecode, p.at.Region, 0)
+	req := r.routeRequest(router.StageDecode)
+	req.KVRegion = p.at.Region
+	req.Software = &p.at.Software
+	decode, err := r.choose(ctx, req, 0)
 	if err != nil {
 		r.releasePrepared(ctx)
-		return false, err
+		if r.software != nil || !fault.Is(err, fault.NoTarget) {
+			return false, err
+		}
+		if decode, err = r.choose(ctx, r.routeRequest(router.StageDecode), 0); err != nil {
+			return false, err
+		}
+		return r.runAt(ctx, decode, nil)
 	}
 	r.cacheKept = false
 	retry, err = r.runAt(ctx, decode, p.cache)
@@ -304,12 +318,11 @@
 	return r.d.place(ctx, req, r.req.remaining(clock.Now()), objective)
 }
 
-func (r *forwardRun) choose(ctx context.Context, stage router.Stage, from ident.RegionID, objective time.Duration) (*Assignment, error) {
+// choose chooses a target for one stage of the request.
+func (r *forwardRun) choose(ctx context.Context, req router.Request, objective time.Duration) (*Assignment, error) {
 	if err := r.checkParts(); err != nil {
 		return nil, err
 	}
-	req := r.routeRequest(stage)
-	req.KVRegion = from
 	assigned, err := r.place(ctx, req, objective)
 	if err != nil && r.avoid != "" {
 		req.Avoid = "" // the only usable target may be the one that failed
@@ -319,7 +332,7 @@
 		return nil, err
 	}
 	r.lastTarget = assigned.Choice.ID
-	r.logPlaced(assigned, stage)
+	r.logPlaced(assigned, req.Stage)
 	return assigned, nil
 }
 
@@ -329,7 +342,7 @@
 	r.d.cfg.Log.WithFields(logrus.Fields{
 		"event": "placed", "request": r.req.ID, "rule": r.req.Rule.Name, "target": c.ID, "need": stage, "split": a.PrefillOnly, "cross": c.CrossRegion,
 		"expected": c.TTFT.Milliseconds(), "wait": c.Wait.Milliseconds(), "prompt": r.promptTokens, "cached": c.Cached, "source": c.Source, "by": a.placer, "limited": a.limited,
-		"at": clock.Now().Sub(r.req.Arrived).Milliseconds(), "number": r.req.Config.Number,
+		"software": a.Software, "at": clock.Now().Sub(r.req.Arrived).Milliseconds(), "number": r.req.Config.Number,
 	}).Info("target chosen")
 }
 
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -32,7 +32,7 @@
 	}
 	placed, placer, err := d.cfg.Placement.Place(ctx, &peer.Place{
 		Service: req.Service, Version: req.Version, Stage: req.Stage, Prompt: req.Prompt, Parts: req.Parts,
-		Avoid: req.Avoid, Urgency: req.Urgency, CacheRegion: req.KVRegion, Remaining: remaining, TTFTObjective: objective, KnownEngines: d.cfg.Targets.EngineCount(clock.Now(), req.Service),
+		Software: req.Software, Avoid: req.Avoid, Urgency: req.Urgency, CacheRegion: req.KVRegion, Remaining: remaining, TTFTObjective: objective, KnownEngines: d.cfg.Targets.EngineCount(clock.Now(), req.Service),
 	})
 	if err != nil || placed.Limited {
 		return d.choose(ctx, req)
--- a/dispatch/placer.go
+++ b/dispatch/placer.go
@@ -73,7 +73,7 @@
 	}
 	req := router.Request{
 		Service: request.Service, Version: request.Version, Stage: request.Stage, Prompt: request.Prompt,
-		Blocks: router.PartBlockHashes(nil, request.Parts), Parts: request.Parts, Avoid: request.Avoid, KVRegion: request.CacheRegion, Urgency: request.Urgency,
+		Blocks: router.PartBlockHashes(nil, request.Parts), Parts: request.Parts, Avoid: request.Avoid, KVRegion: request.CacheRegion, Urgency: request.Urgency, Software: request.Software,
 	}
 	if request.TTFTObjective > 0 {
 		if c, ok := p.pool.Preview(now, req); ok && c.Wait > maxQueueWait(c.TTFT-c.Wait, request.TTFTObjective) {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -126,7 +126,7 @@
 		pool.router.Restarted(a.Target)
 		pool.limits.Forget(a.Target, a.Incarnation)
 	}
-	t := router.Target{ID: a.Target, Service: a.Service, Region: a.Region, Domain: a.Domain}
+	t := router.Target{ID: a.Target, Service: a.Service, Region: a.Region, Domain: a.Domain, Software: a.Software}
 	if a.Engine != nil {
 		t.Role = a.Engine.Role
 		t.Version = a.Engine.Version
@@ -162,6 +162,20 @@
 	return out
 }
 
+// SoftwareVersions returns the software versions of a service's targets, also of those that have left or
+// stopped announcing themselves lately.
+func (pool *TargetPool) SoftwareVersions(service ident.ServiceID) []ident.SoftwareVersion {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	var versions []ident.SoftwareVersion
+	pool.table.Each(func(r *target.Record) {
+		if r.Service == service && !slices.Contains(versions, r.Software) {
+			versions = append(versions, r.Software)
+		}
+	})
+	return versions
+}
+
 // RemoveExpired removes targets whose announcements stopped long ago.
 func (pool *TargetPool) RemoveExpired(now clock.Time) {
 	pool.mu.Lock()
--- /dev/null
+++ b/dispatch/resume.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryridge/hickoryridge/desired"
+	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/stream"
+)
+
+// A stream goes on only at targets of the software version that began it, within an answer and when
+// its caller takes it up; see package stream. With its first event, a request is bound to that version.
+
+// recallRetryAfter is the retry delay of a caller whose stream could not be looked up.
+const recallRetryAfter = 500 * time.Millisecond
+
+// StreamOrigins looks up what began streams of other instances.
+type StreamOrigins interface {
+	// Recall returns what began a stream of a service, within the given time. It returns false if that is
+	// not known and cannot be told otherwise, and an error if nobody could be asked.
+	Recall(ctx context.Context, k stream.Key, service ident.ServiceID, within time.Duration) (stream.Origin, bool, error)
+}
+
+// bind binds the request to the software version of the target that sent the first event, and records that for
+// callers who take the stream up.
+func (r *forwardRun) bind(a *Assignment) {
+	software := a.Software
+	r.software = &software
+	if !r.req.Rule.Stream || r.d.cfg.Facts == nil {
+		return
+	}
+	b := stream.Begun{Origin: stream.Origin{Service: r.req.Service, Software: software}, Left: r.streamRetention(), Keys: []stream.Key{stream.KeyOf(r.req.ID)}}
+	if r.req.Resumes != "" && r.req.Resumes != r.req.ID {
+		b.Keys = append(b.Keys, stream.KeyOf(r.req.Resumes)) // may be taken up once more
+	}
+	r.d.cfg.Facts.streamBegun(clock.Now(), b)
+}
+
+// streamRetention returns the time for which the stream may be taken up.
+func (r *forwardRun) streamRetention() time.Duration {
+	return stream.Retention(max(r.req.Rule.Timeout.AsDuration(), r.req.Budget))
+}
+
+// takeUp binds a request that takes a stream up to the software version that began the stream. It
+// returns a fault.StreamUnknown error if that is not known.
+func (r *forwardRun) takeUp(ctx context.Context) error {
+	f := r.req
+	if !f.Rule.Stream || f.Resumes == "" && f.LastEventID == "" || r.d.cfg.Facts == nil {
+		return nil
+	}
+	origin, from, err := r.findOrigin(ctx)
+	inSplit := slices.ContainsFunc(f.Rule.Split, func(w desired.WeightedService) bool { return w.Service == origin.Service })
+	if err == nil && !inSplit {
+		err = fault.New(fault.StreamUnknown, "the stream belongs to service %q, which the rule does not name", origin.Service)
+	}
+	r.d.cfg.Log.WithFields(logrus.Fields{
+		"event": "stream_taken_up", "request": f.ID, "resumes": f.Resumes, "after": f.LastEventID, "service": origin.Service, "software": origin.Software, "told": from, "cause": err,
+	}).Info("a caller takes up a stream")
+	if err != nil {
+		r.d.cfg.Metrics.Count("streams_unknown")
+		return err
+	}
+	r.d.cfg.Metrics.Count("streams_taken_up")
+	f.Service = origin.Service
+	r.software = &origin.Software
+	return nil
+}
+
+// findOrigin returns what began the stream that the caller takes up, and who told it.
+func (r *forwardRun) findOrigin(ctx context.Context) (origin stream.Origin, from string, err error) {
+	f := r.req
+	key := stream.KeyOf(f.Resumes)
+	if origin, ok := r.d.cfg.Facts.origin(clock.Now(), key); ok && f.Resumes != "" {
+		return origin, "this instance", nil
+	}
+	if r.d.cfg.Origins == nil {
+		return origin, "", fault.New(fault.StreamUnknown, "nobody knows which software version began the stream")
+	}
+	origin, ok, err := r.d.cfg.Origins.Recall(ctx, key, f.Service, r.streamRetention())
+	switch {
+	case err != nil:
+		err = fault.New(fault.StreamUnknown, "no voter told which software version began the stream: %v", err)
+		return origin, "", fault.WithRetryAfter(err, recallRetryAfter)
+	case !ok:
+		return origin, "", fault.New(fault.StreamUnknown, "nobody knows which software version began the stream")
+	}
+	return origin, "a voter", nil
+}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -51,6 +51,7 @@
 	HeaderTooLarge
 	TargetLimited
 	PartQuarantined
+	StreamUnknown
 	kindCount // number of kinds; must be last
 )
 
@@ -110,6 +111,7 @@
 	HeaderTooLarge:      {http.StatusRequestHeaderFieldsTooLarge, "header_too_large", RanNo, 0},
 	TargetLimited:       {http.StatusServiceUnavailable, "target_limited", RanNo, shortRetryDelay},
 	PartQuarantined:     {http.StatusServiceUnavailable, "part_quarantined", RanNo, longRetryDelay},
+	StreamUnknown:       {http.StatusServiceUnavailable, "stream_unknown", RanNo, 0},
 	Timeout:             {http.StatusGatewayTimeout, "timeout", RanUnknown, shortRetryDelay},
 }
 
--- a/instance/facthub.go
+++ b/instance/facthub.go
@@ -11,7 +11,7 @@
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/fact"
-	"github.com/hickoryridge/hickoryridge/internal/cluster/feed"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/stream"
 	"github.com/hickoryridge/hickoryridge/internal/task"
 	"github.com/hickoryridge/hickoryridge/peer"
 )
@@ -39,7 +39,7 @@
 }
 
 func newFactHub() *factHub {
-	return &factHub{collector: fact.NewCollector(clock.Now(), rand.Uint64() | 1), derived: make(chan struct{}), told: make(chan struct{})}
+	return &factHub{collector: fact.NewCollector(clock.Now(), rand.Uint64()|1), derived: make(chan struct{}), told: make(chan struct{})}
 }
 
 // tell records facts that an instance tells.
@@ -52,10 +52,30 @@
 }
 
 // merge records facts that other voters have been told.
-func (h *factHub) merge(batches []fact.Batch) {
+func (h *factHub) merge(b fact.Batch) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.collector.Merge(clock.Now(), batches)
+	h.collector.Merge(clock.Now(), b)
+}
+
+// recall returns what began a stream. versions returns the software versions of a service's targets.
+func (h *factHub) recall(r *peer.Recall, versions func(ident.ServiceID) []ident.SoftwareVersion) *peer.Recalled {
+	h.mu.Lock()
+	origin, known := h.collector.Origin(clock.Now(), r.Stream)
+	covered := h.collector.Covers(clock.Now(), r.Within)
+	h.mu.Unlock()
+	if known {
+		return &peer.Recalled{Known: true, Origin: origin}
+	}
+	all := versions(r.Service)
+	switch {
+	case len(all) > 1:
+		return &peer.Recalled{Several: true}
+	case len(all) == 1 && covered:
+		return &peer.Recalled{Sole: true, Origin: stream.Origin{Service: r.Service, Software: all[0]}}
+	default:
+		return &peer.Recalled{}
+	}
 }
 
 // derive is the background task that determines what follows from the facts.
@@ -89,19 +109,19 @@
 // relay returns what this voter has been told since a cursor, once there is something or some time has
 // passed.
 func (h *factHub) relay(ctx context.Context, r *peer.Relay) *peer.Relayed {
-	batches, next, told := h.since(r.Since)
-	if len(batches) == 0 && next == r.Since {
+	batch, next, told := h.since(r.Since)
+	if next == r.Since {
 		wait(ctx, told)
-		batches, next, _ = h.since(r.Since)
+		batch, next, _ = h.since(r.Since)
 	}
-	return &peer.Relayed{Batches: batches, Next: next}
+	return &peer.Relayed{Batch: batch, Next: next}
 }
 
-func (h *factHub) since(c feed.Cursor) ([]fact.Batch, feed.Cursor, <-chan struct{}) {
+func (h *factHub) since(c fact.Cursor) (fact.Batch, fact.Cursor, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	batches, next := h.collector.Since(clock.Now(), c)
-	return batches, next, h.told
+	batch, next := h.collector.Since(clock.Now(), c)
+	return batch, next, h.told
 }
 
 // wait waits for an event, for factPollTime at most.
@@ -130,6 +150,8 @@
 		return in.factHub.learn(ctx, b), nil
 	case *peer.Relay:
 		return in.factHub.relay(ctx, b), nil
+	case *peer.Recall:
+		return in.factHub.recall(b, in.targetPool.SoftwareVersions), nil
 	default:
 		return nil, fault.New(fault.FrameInvalid, "unexpected message of type %T about facts", b)
 	}
@@ -162,7 +184,7 @@
 // returns.
 func (in *Instance) readFacts(ctx context.Context, from ident.InstanceID, end chan<- struct{}) {
 	defer close(end)
-	var since feed.Cursor
+	var since fact.Cursor
 	for ctx.Err() == nil && slices.Contains(in.roster.Voters(), from) {
 		next, err := in.readFactsOnce(ctx, from, since)
 		if err == nil {
@@ -176,14 +198,14 @@
 	}
 }
 
-func (in *Instance) readFactsOnce(ctx context.Context, from ident.InstanceID, since feed.Cursor) (feed.Cursor, error) {
+func (in *Instance) readFactsOnce(ctx context.Context, from ident.InstanceID, since fact.Cursor) (fact.Cursor, error) {
 	ctx, cancel := context.WithTimeout(ctx, factPollTimeout)
 	defer cancel()
 	relayed, err := callAs[*peer.Relayed](ctx, in.network.Call, from, &peer.Relay{Since: since})
 	if err != nil {
 		return since, err
 	}
-	in.factHub.merge(relayed.Batches)
+	in.factHub.merge(relayed.Batch)
 	return relayed.Next, nil
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -145,7 +145,7 @@
 	in.dispatcher = dispatch.New(dispatch.Config{
 		Instance: s.Instance, Boot: boot, Gate: in.gate, Targets: in.targetPool, Engines: in.engines,
 		Plain: in.plain, Backend: &platform.Backend{Client: in.targetClient, Log: in.log}, Receipts: in.receipts, Metrics: in.metrics, Log: in.log, MaxRunning: s.RunningLimit(),
-		Placement: in.placing(), Facts: in.facts(),
+		Placement: in.placing(), Facts: in.facts(), Origins: in.origins(),
 		Retries: admit.RetryLimit{Ratio: s.Retries.Ratio, Window: s.Retries.Window.AsDuration(), Slack: s.Retries.Slack},
 	})
 	if !s.Voter() {
@@ -177,6 +177,15 @@
 	return in.factClient.facts
 }
 
+// origins returns the client that looks up what began streams, as an interface that is nil if facts are not
+// shared.
+func (in *Instance) origins() dispatch.StreamOrigins {
+	if in.factClient == nil {
+		return nil
+	}
+	return in.factClient
+}
+
 // routing returns the router configuration for the given settings.
 func routing(s *settings.Settings) router.Config {
 	links := router.DefaultLinks()
@@ -422,7 +431,7 @@
 			in.logLimits("placement", in.placer.Notify(b.Notes))
 		}
 		return nil, nil
-	case *peer.Tell, *peer.Learn, *peer.Relay:
+	case *peer.Tell, *peer.Learn, *peer.Relay, *peer.Recall:
 		return in.handleFacts(ctx, b)
 	case *peer.Form:
 		if in.voter == nil {
--- a/internal/cluster/fact/collector.go
+++ b/internal/cluster/fact/collector.go
@@ -7,6 +7,7 @@
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/feed"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/stream"
 )
 
 // maxLogged is the number of batches that are kept for voters that start.
@@ -23,9 +24,12 @@
 // Collector holds the facts that a voter has been told, and what follows from them. Use NewCollector.
 // It is not safe for concurrent use.
 type Collector struct {
-	log      *feed.Log[stamped] // of what instances told this voter
+	// The facts that instances told this voter, by kind, so that streams do not displace evidence.
+	evidenceLog, streamLog *feed.Log[stamped]
+
 	received map[ident.InstanceID]received
 	evidence *quarantine.Evidence
+	streams  *stream.Memory
 	mark     Mark
 	suspects []quarantine.Suspect
 	started  clock.Time
@@ -43,8 +47,8 @@
 // and must not be 0.
 func NewCollector(now clock.Time, run uint64) *Collector {
 	return &Collector{
-		log: feed.New[stamped](run, maxLogged), received: map[ident.InstanceID]received{},
-		evidence: quarantine.NewEvidence(), mark: Mark{Run: run}, started: now,
+		evidenceLog: feed.New[stamped](run, maxLogged), streamLog: feed.New[stamped](run, maxLogged), received: map[ident.InstanceID]received{},
+		evidence: quarantine.NewEvidence(), streams: stream.NewMemory(now), mark: Mark{Run: run}, started: now,
 	}
 }
 
@@ -56,7 +60,12 @@
 	}
 	r.last = max(r.last, s)
 	c.received[from] = r
-	c.log.Append(stamped{b, now})
+	if !b.Evidence.Empty() {
+		c.evidenceLog.Append(stamped{Batch{Evidence: b.Evidence}, now})
+	}
+	if len(b.Streams) > 0 {
+		c.streamLog.Append(stamped{Batch{Streams: b.Streams}, now})
+	}
 	c.apply(now, b)
 }
 
@@ -66,28 +75,44 @@
 	return s > 0 && (r.boot != boot || r.last < s)
 }
 
+// Cursor is a position in what instances have told a voter.
+type Cursor struct {
+	Evidence feed.Cursor `msgpack:"evidence"`
+	Streams  feed.Cursor `msgpack:"streams"`
+}
+
 // Since returns what instances have told this voter since a cursor, and the cursor after it.
-func (c *Collector) Since(now clock.Time, since feed.Cursor) ([]Batch, feed.Cursor) {
-	logged, next := c.log.Since(since)
-	batches := make([]Batch, 0, len(logged))
-	for _, s := range logged {
-		batches = append(batches, s.batch.aged(now.Sub(s.at)))
-	}
-	return batches, next
+func (c *Collector) Since(now clock.Time, since Cursor) (Batch, Cursor) {
+	evidence, nextEvidence := c.evidenceLog.Since(since.Evidence)
+	streams, nextStreams := c.streamLog.Since(since.Streams)
+	b := join(now, evidence)
+	b.add(join(now, streams))
+	return b, Cursor{nextEvidence, nextStreams}
 }
 
 // Merge records what another voter has been told.
-func (c *Collector) Merge(now clock.Time, batches []Batch) {
-	for _, b := range batches {
-		c.apply(now, b)
-	}
+func (c *Collector) Merge(now clock.Time, b Batch) { c.apply(now, b) }
+
+// Origin returns what began a stream, and false if no instance told it.
+func (c *Collector) Origin(now clock.Time, k stream.Key) (stream.Origin, bool) {
+	return c.streams.Find(now, k)
 }
 
+// Covers reports whether a stream that began within the given time would be known, had its instance told
+// it.
+func (c *Collector) Covers(now clock.Time, d time.Duration) bool { return c.streams.Covers(now, d) }
+
+// StreamCount returns the number of streams that are remembered.
+func (c *Collector) StreamCount() int { return c.streams.Len() }
+
 func (c *Collector) apply(now clock.Time, b Batch) {
 	if !b.Evidence.Empty() {
 		c.evidence.Add(now, b.Evidence)
 		c.dirty = true
 	}
+	for _, s := range b.Streams {
+		c.streams.Record(now, s)
+	}
 }
 
 // Derive determines what follows from the facts, and reports whether that has changed.
--- a/internal/cluster/fact/fact.go
+++ b/internal/cluster/fact/fact.go
@@ -17,22 +17,34 @@
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/stream"
 )
 
 // Batch is what an instance has seen since its last batch. Ages are as of the time of sending.
 type Batch struct {
 	Evidence quarantine.Report `msgpack:"evidence"`
+	Streams  []stream.Begun    `msgpack:"streams"`
 }
 
 // Empty reports whether b holds no facts.
-func (b Batch) Empty() bool { return b.Evidence.Empty() }
-
-// aged returns a copy of b whose facts are older by d.
-func (b Batch) aged(d time.Duration) Batch { return Batch{Evidence: b.Evidence.Aged(d)} }
+func (b Batch) Empty() bool { return b.Evidence.Empty() && len(b.Streams) == 0 }
+
+// aged returns a copy of b whose facts are older by d, without the streams that cannot be taken up any
+// more.
+func (b Batch) aged(d time.Duration) Batch {
+	aged := Batch{Evidence: b.Evidence.Aged(d)}
+	for _, s := range b.Streams {
+		if s.Left -= d; s.Left > 0 {
+			aged.Streams = append(aged.Streams, s)
+		}
+	}
+	return aged
+}
 
-// append returns the facts of b and of another batch.
-func (b Batch) append(other Batch) Batch {
-	return Batch{Evidence: b.Evidence.Append(other.Evidence)}
+// add adds the facts of another batch.
+func (b *Batch) add(other Batch) {
+	b.Evidence.Add(other.Evidence)
+	b.Streams = append(b.Streams, other.Streams...)
 }
 
 // Sequence numbers the batches of one run of an instance, from 1.
--- a/internal/cluster/fact/model_test.go
+++ b/internal/cluster/fact/model_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
-	"github.com/hickoryridge/hickoryridge/internal/cluster/feed"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
 	"github.com/hickoryridge/hickoryridge/internal/modeltest"
 )
@@ -45,7 +44,7 @@
 
 type modelVoter struct {
 	collector *Collector
-	cursors   map[*modelVoter]feed.Cursor
+	cursors   map[*modelVoter]Cursor
 	stopped   bool
 }
 
@@ -76,7 +75,7 @@
 func (m *model) restart(v *modelVoter) {
 	m.runs++
 	v.collector = NewCollector(m.Now, m.runs)
-	v.cursors = map[*modelVoter]feed.Cursor{}
+	v.cursors = map[*modelVoter]Cursor{}
 	v.stopped = false
 }
 
@@ -106,10 +105,10 @@
 		if from == v || from.stopped || v.stopped {
 			continue
 		}
-		batches, next := from.collector.Since(m.Now, v.cursors[from])
+		batch, next := from.collector.Since(m.Now, v.cursors[from])
 		collector := v.collector
 		v.cursors[from] = next
-		m.After(m.latency(), func() { collector.Merge(m.Now, batches) })
+		m.After(m.latency(), func() { collector.Merge(m.Now, batch) })
 	}
 }
 
--- a/internal/cluster/fact/outbox.go
+++ b/internal/cluster/fact/outbox.go
@@ -73,7 +73,7 @@
 func join(now clock.Time, all []stamped) Batch {
 	var joined Batch
 	for _, s := range all {
-		joined = joined.append(s.batch.aged(now.Sub(s.at)))
+		joined.add(s.batch.aged(now.Sub(s.at)))
 	}
 	return joined
 }
--- a/internal/cluster/quarantine/quarantine.go
+++ b/internal/cluster/quarantine/quarantine.go
@@ -84,18 +84,17 @@
 // Empty reports whether r holds no evidence.
 func (r Report) Empty() bool { return len(r.Crashed)+len(r.Answered)+len(r.Released) == 0 }
 
-// Append returns the evidence of r and of another report.
-func (r Report) Append(other Report) Report {
-	return Report{
-		Crashed:  append(slices.Clip(r.Crashed), other.Crashed...),
-		Answered: append(slices.Clip(r.Answered), other.Answered...),
-		Released: append(slices.Clip(r.Released), other.Released...),
-	}
+// Add adds the evidence of another report.
+func (r *Report) Add(other Report) {
+	r.Crashed = append(r.Crashed, other.Crashed...)
+	r.Answered = append(r.Answered, other.Answered...)
+	r.Released = append(r.Released, other.Released...)
 }
 
 // Aged returns a copy of r with evidence that is older by d.
 func (r Report) Aged(d time.Duration) Report {
-	aged := Report{}.Append(r)
+	var aged Report
+	aged.Add(r)
 	for i := range aged.Crashed {
 		aged.Crashed[i].Age += d
 	}
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -1,10 +1,12 @@
 package peer
 
 import (
+	"time"
+
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/fact"
-	"github.com/hickoryridge/hickoryridge/internal/cluster/feed"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/stream"
 )
 
 // Tell tells a voter facts. It has no reply.
@@ -34,17 +36,37 @@
 // Relay requests from a voter what it has been told since a cursor. The reply is delayed, for a bounded
 // time, until there is something.
 type Relay struct {
-	Since feed.Cursor `msgpack:"since"`
+	Since fact.Cursor `msgpack:"since"`
 }
 
 // Relayed is the reply to a Relay.
 type Relayed struct {
-	Batches []fact.Batch `msgpack:"batches"`
-	Next    feed.Cursor  `msgpack:"next"`
+	Batch fact.Batch  `msgpack:"batch"`
+	Next  fact.Cursor `msgpack:"next"`
+}
+
+// Recall requests from a voter what began a stream.
+type Recall struct {
+	Stream  stream.Key      `msgpack:"stream"`
+	Service ident.ServiceID `msgpack:"service"` // that the stream belongs to, if it is not known
+	// Within is the time within which the stream began.
+	Within time.Duration `msgpack:"within"`
+}
+
+// Recalled is the reply to a Recall.
+type Recalled struct {
+	Known  bool          `msgpack:"known"`
+	Origin stream.Origin `msgpack:"origin"` // if Known or Sole
+	// Sole means that the stream is not known, but that the service has had targets of one software
+	// version only. Several means that it has had targets of more.
+	Sole    bool `msgpack:"sole"`
+	Several bool `msgpack:"several"`
 }
 
-func (*Tell) kind() kind    { return kindTell }
-func (*Learn) kind() kind   { return kindLearn }
-func (*Learned) kind() kind { return kindLearned }
-func (*Relay) kind() kind   { return kindRelay }
-func (*Relayed) kind() kind { return kindRelayed }
+func (*Tell) kind() kind     { return kindTell }
+func (*Learn) kind() kind    { return kindLearn }
+func (*Learned) kind() kind  { return kindLearned }
+func (*Relay) kind() kind    { return kindRelay }
+func (*Relayed) kind() kind  { return kindRelayed }
+func (*Recall) kind() kind   { return kindRecall }
+func (*Recalled) kind() kind { return kindRecalled }
--- a/peer/message.go
+++ b/peer/message.go
@@ -55,6 +55,8 @@
 	kindLearned
 	kindRelay
 	kindRelayed
+	kindRecall
+	kindRecalled
 	kindCount // number of kinds, including the unused 0
 )
 
@@ -347,6 +349,10 @@
 		return &Relay{}
 	case kindRelayed:
 		return &Relayed{}
+	case kindRecall:
+		return &Recall{}
+	case kindRecalled:
+		return &Recalled{}
 	default:
 		return nil
 	}
--- a/peer/optional.go
+++ b/peer/optional.go
@@ -11,6 +11,8 @@
 	_ msgpack.CustomDecoder = (*Grant)(nil)
 	_ msgpack.CustomEncoder = Sum{}
 	_ msgpack.CustomDecoder = (*Sum)(nil)
+	_ msgpack.CustomEncoder = Place{}
+	_ msgpack.CustomDecoder = (*Place)(nil)
 	_ msgpack.CustomEncoder = Placed{}
 	_ msgpack.CustomDecoder = (*Placed)(nil)
 	_ msgpack.CustomEncoder = Note{}
@@ -37,6 +39,16 @@
 	return fields.Decode(dec, 1, &s.Loads, &s.Placed, &s.Next, &s.Limits)
 }
 
+// EncodeMsgpack encodes p. Software is optional.
+func (p Place) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return fields.Encode(enc, 1, p.Service, p.Version, p.Stage, p.Prompt, p.Parts, p.Avoid, p.Urgency, p.CacheRegion, p.TTFTObjective, p.Remaining, p.KnownEngines, p.Software)
+}
+
+// DecodeMsgpack decodes p.
+func (p *Place) DecodeMsgpack(dec *msgpack.Decoder) error {
+	return fields.Decode(dec, 1, &p.Service, &p.Version, &p.Stage, &p.Prompt, &p.Parts, &p.Avoid, &p.Urgency, &p.CacheRegion, &p.TTFTObjective, &p.Remaining, &p.KnownEngines, &p.Software)
+}
+
 // EncodeMsgpack encodes p. Permitted and Limited are optional.
 func (p Placed) EncodeMsgpack(enc *msgpack.Encoder) error {
 	return fields.Encode(enc, 2, p.Ticket, p.Target, p.CacheSource, p.Cached, p.ExpectedTTFT, p.QueueWait, p.RetryAfter, p.Permitted, p.Limited)
--- a/peer/placing.go
+++ b/peer/placing.go
@@ -29,6 +29,8 @@
 	Remaining time.Duration `msgpack:"left"`
 	// KnownEngines is the number of usable engines of the service that the sender has recorded.
 	KnownEngines int `msgpack:"known"`
+	// Software is the only software version whose targets may be chosen; nil accepts any.
+	Software *ident.SoftwareVersion `msgpack:"software"`
 }
 
 // Placed is the reply to a Place.
--- a/router/cost.go
+++ b/router/cost.go
@@ -2,11 +2,11 @@
 
 // query is a Request in the form that a search uses, with names interned.
 type query struct {
-	service, version, kvRegion, avoid int32
-	stage                             Stage
-	level                             int     // urgency level
-	prefillTokens                     float64 // prompt tokens to process
-	promptTokens                      float64
+	service, version, software, kvRegion, avoid int32
+	stage                                       Stage
+	level                                       int     // urgency level
+	prefillTokens                               float64 // prompt tokens to process
+	promptTokens                                float64
 	// promptTransferCost is the penalty for carrying the prompt between regions, in seconds.
 	promptTransferCost float64
 	// transferTokenTime is the time to transfer the KV cache of a token within a region, in
@@ -53,6 +53,9 @@
 	if req.Version != "" {
 		q.version = r.versions.intern(req.Version)
 	}
+	if req.Software != nil {
+		q.software = r.software.intern(*req.Software)
+	}
 	if req.KVRegion != "" {
 		q.kvRegion = r.regions.intern(req.KVRegion)
 	}
@@ -81,12 +84,15 @@
 
 // accepts reports whether a target can take the request.
 func (s *slot) accepts(i int32, q *query) bool {
-	if s.service != q.service || !s.usable || s.access == Exhausted || s.stages&(1<<q.stage) == 0 || i == q.avoid {
+	if s.service != q.service || !s.usable || s.access == Exhausted || s.stages&(1<<q.stage) == 0 || i == q.avoid || !s.runs(q) {
 		return false
 	}
 	return q.version == 0 || s.version == 0 || s.version == q.version
 }
 
+// runs reports whether a target runs the software version that the request needs.
+func (s *slot) runs(q *query) bool { return q.software == 0 || s.software == q.software }
+
 // uncached returns the prompt tokens that a target would have to process.
 func (s *slot) uncached(depth int32, q *query) float64 {
 	if depth == 0 {
--- a/router/fetch.go
+++ b/router/fetch.go
@@ -17,7 +17,7 @@
 	}
 	for _, i := range r.cachingSlots {
 		s := &r.slots[i]
-		if !s.usable || s.service != q.service {
+		if !s.usable || s.service != q.service || !s.runs(q) {
 			continue
 		}
 		nearer := q.holder >= 0 && r.cachedBlocks[i] == q.fetchableBlocks && r.slots[q.holder].cross && !s.cross
@@ -37,8 +37,9 @@
 	return perToken
 }
 
-// fetchSource returns the target to fetch from for a request at slot i: the one other than i that
-// caches the longest prefix, preferably in the region of i. A source with no longer prefix than i
+// fetchSource returns the target to fetch from for a request at slot i: the one other than i, of the same
+// software version, that caches the longest prefix, preferably in the region of i. KV cache of another
+// version may not fit. A source with no longer prefix than i
 // is still useful in case i has evicted the blocks that it is expected to cache.
 func (r *Router) fetchSource(i int32, q *query) ident.TargetID {
 	if !r.cfg.KVFetch || q.stage == StageDecode {
@@ -47,7 +48,7 @@
 	best := int32(-1)
 	for _, j := range r.cachingSlots {
 		s := &r.slots[j]
-		if j == i || !s.usable || s.service != q.service || r.cachedBlocks[j] == 0 {
+		if j == i || !s.usable || s.service != q.service || s.software != r.slots[i].software || r.cachedBlocks[j] == 0 {
 			continue
 		}
 		nearer := best >= 0 && r.cachedBlocks[j] == r.cachedBlocks[best] && s.region == r.slots[i].region && r.slots[best].region != s.region
--- a/router/router.go
+++ b/router/router.go
@@ -109,6 +109,8 @@
 	Domain  ident.DomainID
 	Role    desired.Role
 	Version string
+	// Software is the version of the target's software.
+	Software ident.SoftwareVersion
 }
 
 // Stage is a stage of processing a request. It decides which roles can take the request.
@@ -136,6 +138,8 @@
 	Avoid    ident.TargetID // a target that failed this request before
 	Urgency  Urgency        // queue priority at engines
 	KVRegion ident.RegionID // region of the KV cache to import; empty if there is none
+	// Software is the only software version whose targets may take the request; nil accepts any.
+	Software *ident.SoftwareVersion
 }
 
 // Choice is the chosen target and the outcome expected there.
@@ -168,6 +172,7 @@
 	free             []int32
 	services         interner[ident.ServiceID]
 	versions         interner[string]
+	software         interner[ident.SoftwareVersion]
 	regions          interner[ident.RegionID]
 	region           int32 // the region of this instance
 	groups           []*group
@@ -191,7 +196,7 @@
 	r := &Router{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 2)),
 		byID: map[ident.TargetID]int32{}, services: interner[ident.ServiceID]{},
-		versions: interner[string]{}, regions: interner[ident.RegionID]{}, prefixes: newPrefixIndex(),
+		versions: interner[string]{}, software: interner[ident.SoftwareVersion]{}, regions: interner[ident.RegionID]{}, prefixes: newPrefixIndex(),
 		reservedEngines: map[int32]int32{}, homeCandidates: map[int32][]int32{},
 		turnovers:    map[ident.ServiceID]*turnover{},
 		interference: interferencePrices{}, prefillWork: map[ident.ServiceID]prefillWork{},
@@ -286,8 +291,9 @@
 	return n
 }
 
-// ChooseOnly returns the Choice for a given target, and false if the target is unknown. It does not
-// check whether the target accepts the request. It serves to compare routing policies and to
+// ChooseOnly returns the Choice for a given target, and false if the target is unknown or of another
+// software version than the request accepts. It does not check otherwise whether the target accepts the
+// request. It serves to compare routing policies and to
 // account for targets that another instance chose.
 func (r *Router) ChooseOnly(req Request, id ident.TargetID) (Choice, bool) {
 	i, ok := r.byID[id]
@@ -295,6 +301,9 @@
 		return Choice{}, false
 	}
 	q := r.newQuery(req)
+	if !r.slots[i].runs(&q) {
+		return Choice{}, false
+	}
 	r.markCachedBlocks(req.Blocks)
 	c := r.choice(i, &q)
 	r.clearCachedBlocks()
--- a/router/slots.go
+++ b/router/slots.go
@@ -12,6 +12,7 @@
 type slot struct {
 	service   int32
 	version   int32 // 0 if unknown
+	software  int32
 	region    int32
 	group     int32
 	position  int32 // in the group's tree
@@ -96,6 +97,7 @@
 	if t.Version != "" {
 		s.version = r.versions.intern(t.Version)
 	}
+	s.software = r.software.intern(t.Software)
 	s.stages = stagesOf(t.Role)
 	s.cross = t.Region != r.cfg.Region
 	d.link = r.linkTo(t).Seconds()
