router: what a target can fetch is counted by software version

KV cache is fetched from targets of the same version only, but a choice counted the longest prefix of any version as fetchable, so prompts went to engines that then read the shared parts again.

--- a/router/cost.go
+++ b/router/cost.go
@@ -16,10 +16,9 @@
 	// recomputeBlockCost is Config.RecomputeTime for one block, in seconds.
 	recomputeBlockCost float64
 	prefixHash         uint64 // hash of the last shared block, which covers the whole shared prefix
-	// fetchableBlocks is the largest number of blocks cached at one target, if engines can
-	// fetch KV cache.
-	fetchableBlocks int32
-	holder          int32 // the target with fetchableBlocks; -1 if none
+	// holders are the targets with the longest cached prefix, one for each software version, if
+	// engines can fetch KV cache.
+	holders []holder
 	// home is the engine to process a prefix that is not known to be cached anywhere; -1 if
 	// none.
 	home           int32
@@ -33,11 +32,11 @@
 }
 
 // newQuery returns the query for a request. The fields that depend on cached blocks are set by
-// findHome and findHolder.
+// findHome and findHolders.
 func (r *Router) newQuery(req Request) query {
 	q := query{
 		service: r.services[req.Service], stage: req.Stage, level: req.Urgency.level(), avoid: -1, reservedEngine: -1,
-		promptTokens: float64(req.Prompt), sharedBlocks: int32(len(req.Blocks)), holder: -1, home: -1,
+		promptTokens: float64(req.Prompt), sharedBlocks: int32(len(req.Blocks)), home: -1,
 	}
 	if req.Stage != StageDecode {
 		q.prefillTokens = q.promptTokens
@@ -103,10 +102,11 @@
 
 // cost returns the cost of a target in seconds: the expected time to first token plus penalties.
 func (r *Router) cost(s *slot, depth int32, q *query) float64 {
-	fetched := max(0, q.fetchableBlocks-depth)
+	source := q.holderFor(s)
+	fetched := max(0, source.blocks-depth)
 	own := s.uncached(depth+fetched, q) * s.tokenTime
 	cost := s.baseCosts[q.level] + own*(1+s.lessUrgent[q.level]) + q.regionCost(s.region, s.cross) + s.transferCost(depth, q)
-	if q.fetchableBlocks > 0 {
+	if source.blocks > 0 {
 		cost += float64(q.sharedBlocks-depth-fetched) * q.recomputeBlockCost
 	}
 	if q.home >= 0 && &r.slots[q.home] != s {
@@ -114,7 +114,7 @@
 		cost += float64(q.sharedBlocks) * q.recomputeBlockCost
 	}
 	if fetched > 0 {
-		cost += float64(fetched) * float64(BlockTokens) * r.fetchTokenCost(s.region, q.holder)
+		cost += float64(fetched) * float64(BlockTokens) * r.fetchTokenCost(s.region, source.slot)
 	}
 	if q.stage == StagePrefill {
 		cost += r.stageCost(s, own, q)
--- a/router/fetch.go
+++ b/router/fetch.go
@@ -9,9 +9,17 @@
 // soonest and names the engine to fetch from. The links between regions are too slow for more than
 // a few such transfers at a time; see crossRegionFactor.
 
-// findHolder finds the target that caches the longest prefix of the prompt, and among equal ones
-// prefers this region.
-func (r *Router) findHolder(q *query) {
+// holder is a target from which others of its software version can fetch KV cache of the prompt.
+type holder struct {
+	software int32
+	blocks   int32 // length of its cached prefix
+	slot     int32
+}
+
+// findHolders finds, for each software version, the target that caches the longest prefix of the prompt,
+// and among equal ones prefers this region. KV cache of another version may not fit.
+func (r *Router) findHolders(q *query) {
+	r.holders = r.holders[:0]
 	if !r.cfg.KVFetch || q.stage == StageDecode {
 		return
 	}
@@ -20,11 +28,34 @@
 		if !s.usable || s.service != q.service || !s.runs(q) {
 			continue
 		}
-		nearer := q.holder >= 0 && r.cachedBlocks[i] == q.fetchableBlocks && r.slots[q.holder].cross && !s.cross
-		if r.cachedBlocks[i] > q.fetchableBlocks || nearer {
-			q.fetchableBlocks, q.holder = r.cachedBlocks[i], i
+		h := r.holderOf(s.software)
+		nearer := h.blocks > 0 && r.cachedBlocks[i] == h.blocks && r.slots[h.slot].cross && !s.cross
+		if r.cachedBlocks[i] > h.blocks || nearer {
+			h.blocks, h.slot = r.cachedBlocks[i], i
+		}
+	}
+	q.holders = r.holders
+}
+
+// holderOf returns the holder of a software version, which it adds without blocks if there is none.
+func (r *Router) holderOf(software int32) *holder {
+	for n := range r.holders {
+		if r.holders[n].software == software {
+			return &r.holders[n]
+		}
+	}
+	r.holders = append(r.holders, holder{software: software, slot: -1})
+	return &r.holders[len(r.holders)-1]
+}
+
+// holderFor returns the holder from which a target can fetch, without blocks if there is none.
+func (q *query) holderFor(s *slot) holder {
+	for _, h := range q.holders {
+		if h.software == s.software {
+			return h
 		}
 	}
+	return holder{slot: -1}
 }
 
 // fetchTokenCost returns the cost of fetching the KV cache of a token from the holder into a
--- a/router/router.go
+++ b/router/router.go
@@ -187,6 +187,7 @@
 	prefillWork      map[ident.ServiceID]prefillWork
 	tokenTimeScales  map[tokenTimeKey]float64 // learned token time relative to the reported rate
 	cachedBlocks     []int32                  // scratch: cached blocks of the prompt, by slot
+	holders          []holder                 // scratch: the holders of a query
 	cachingSlots     []int32                  // scratch: slots with a nonzero entry in cachedBlocks
 	visitedNodes     int                      // tree nodes visited by searches, for tests
 }
@@ -222,7 +223,7 @@
 	}
 	r.markCachedBlocks(req.Blocks)
 	r.findHome(req.Blocks, &q)
-	r.findHolder(&q)
+	r.findHolders(&q)
 	best := candidate{-1, math.Inf(1)}
 	if q.reservedEngine >= 0 {
 		r.consider(q.reservedEngine, &q, &best)
@@ -263,7 +264,7 @@
 // choice returns the Choice of a slot.
 func (r *Router) choice(i int32, q *query) Choice {
 	s, d := &r.slots[i], &r.details[i]
-	depth := max(r.cachedBlocks[i], q.fetchableBlocks)
+	depth := max(r.cachedBlocks[i], q.holderFor(s).blocks)
 	uncached := s.uncached(depth, q)
 	wait := d.queuedTokens(q.level)*s.tokenTime + d.batchWait()
 	return Choice{
