chat: an answer goes on at engines of the software version that began it, with KV cache of that version

On the project's own interface an answer that broke off went on at any engine; now at the software version of its first token. Stand-ins name a version. TestAnswerStaysAtSoftwareVersion fails without the change to dispatch.

--- a/cmd/hickorystandin/main.go
+++ b/cmd/hickorystandin/main.go
@@ -28,6 +28,7 @@
 	controls := flag.String("controls", "", "comma-separated control `addresses` of instances")
 	model := flag.String("model", "advisor-model", "model that the engine serves")
 	version := flag.String("version", "v1", "version of the model")
+	software := flag.String("software", "", "version of the engine's software; empty for none")
 	role := flag.String("role", "mixed", "role of the engine: mixed, prefill or decode")
 	speed := flag.Float64("speed", 1, "factor by which the engine runs faster than real time")
 	fencing := flag.Bool("fencing", true, "refuse orders with a stale fencing token")
@@ -40,7 +41,7 @@
 		Controls: strings.Split(*controls, ","), Incarnation: ident.Incarnation(time.Now().UnixNano()),
 	}
 	t, err := start(*kind, *listen, a, standin.EngineConfig{
-		Model: *model, Version: *version, Role: desired.Role(*role), Rates: standin.DefaultRates(), Speed: *speed, Fencing: *fencing,
+		Model: *model, Version: *version, Software: ident.SoftwareVersion(*software), Role: desired.Role(*role), Rates: standin.DefaultRates(), Speed: *speed, Fencing: *fencing,
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/dispatch/chat.go
+++ b/dispatch/chat.go
@@ -39,7 +39,8 @@
 	windowReleased bool          // no longer counts against the class's window
 	answer         engine.Answer
 	avoid          ident.TargetID
-	version        string // model version that began the answer
+	version        string                 // model version that began the answer
+	software       *ident.SoftwareVersion // of the engines that may go on with the answer; nil before its first token
 	deliver        func(text string) error
 	deliverErr     error // error of deliver; the caller has disconnected
 }
@@ -116,7 +117,7 @@
 func (r *chatRun) routeRequest(stage router.Stage) router.Request {
 	return router.Request{
 		Service: r.chat.Service.Name, Version: r.version, Stage: stage,
-		Prompt: r.promptTokens, Blocks: r.blocks, Avoid: r.avoid,
+		Prompt: r.promptTokens, Blocks: r.blocks, Avoid: r.avoid, Software: r.software,
 	}
 }
 
@@ -151,7 +152,7 @@
 // attempt runs the request at one engine, or processes its prompt at one engine and generates the
 // answer at another.
 func (r *chatRun) attempt(ctx context.Context) error {
-	assigned, err := r.choose(ctx, router.StagePrefill, "")
+	assigned, err := r.choose(ctx, r.routeRequest(router.StagePrefill))
 	if err != nil {
 		return err
 	}
@@ -163,7 +164,13 @@
 	if err != nil {
 		return err
 	}
-	decode, err := r.choose(ctx, router.StageDecode, assigned.Region)
+	answer := r.routeRequest(router.StageDecode)
+	answer.KVRegion, answer.Software = assigned.Region, &assigned.Software
+	decode, err := r.choose(ctx, answer)
+	if fault.Is(err, fault.NoTarget) && r.software == nil {
+		kvHandle = nil // KV cache stays within a software version, so the prompt is processed again
+		decode, err = r.choose(ctx, r.routeRequest(router.StageDecode))
+	}
 	if err != nil {
 		return err
 	}
@@ -171,9 +178,9 @@
 	return r.stream(ctx, decode, kvHandle)
 }
 
-func (r *chatRun) choose(ctx context.Context, stage router.Stage, from ident.RegionID) (*Assignment, error) {
-	req := r.routeRequest(stage)
-	req.KVRegion = from
+// choose chooses an engine. If there is none of the same model version, an engine with another one goes
+// on with the answer, but never one of another software version.
+func (r *chatRun) choose(ctx context.Context, req router.Request) (*Assignment, error) {
 	assigned, err := r.d.choose(ctx, req)
 	if err != nil && (r.avoid != "" || r.version != "") {
 		// The only usable target may be the one that failed, or one with another model version.
@@ -222,6 +229,7 @@
 	err := r.d.cfg.Engines.Stream(ctx, assigned.Address, call, &r.answer, func(text string) error {
 		assigned.FirstToken()
 		r.version = assigned.Version
+		r.software = &assigned.Software
 		r.releaseWindow(true)
 		r.recordToken()
 		if err := r.deliver(text); err != nil {
--- a/e2e/answers_test.go
+++ b/e2e/answers_test.go
@@ -60,3 +60,28 @@
 		}
 	}
 }
+
+// TestAnswerStaysAtSoftwareVersion cuts answers at engines of two software versions, one of each. An answer
+// must go on at the version that began it, although the other engine is idle.
+func TestAnswerStaysAtSoftwareVersion(t *testing.T) {
+	c := newCluster(t, 3, 3, false)
+	c.addTargets(1, 1, standin.EngineConfig{Speed: 20, Software: "v1"})
+	c.addTargets(1, 0, standin.EngineConfig{Speed: 20, Software: "v2"})
+	c.bootstrap()
+	for n := range 6 {
+		for _, e := range c.engines {
+			e.SetFault(standin.Fault{Count: 1, CutAfter: 5})
+		}
+		before := []int{c.engines[0].Served(), c.engines[1].Served()}
+		if err := c.chat(n%3, fmt.Sprint("question ", n), 12); err != nil {
+			t.Error(err)
+		}
+		first, second := c.engines[0].Served()-before[0], c.engines[1].Served()-before[1]
+		if first+second != 2 || first == 1 {
+			t.Errorf("question %d was sent to v1 %d times and to v2 %d times, want twice to one of them", n, first, second)
+		}
+		for _, e := range c.engines {
+			e.SetFault(standin.Fault{})
+		}
+	}
+}
--- a/internal/standin/announcer.go
+++ b/internal/standin/announcer.go
@@ -69,6 +69,7 @@
 	}
 	if a.Engine != nil {
 		m.Load, m.Engine, m.Cache = a.Engine.Report()
+		m.Software = a.Engine.cfg.Software
 	}
 	return m
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -23,10 +23,12 @@
 type EngineConfig struct {
 	Model   string
 	Version string
-	Role    desired.Role
-	Rates   Rates
-	Speed   float64 // divides every duration of the model; 0 means 1
-	Fencing bool    // refuse orders with a stale fencing token
+	// Software is the version of the engine's software; empty if it names none.
+	Software ident.SoftwareVersion
+	Role     desired.Role
+	Rates    Rates
+	Speed    float64 // divides every duration of the model; 0 means 1
+	Fencing  bool    // refuse orders with a stale fencing token
 }
 
 // Fault is a fault to inject into a number of requests.
