--- a/instance/facthub.go
+++ b/instance/facthub.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// factDeriveInterval is the interval at which a voter determines what follows from new facts.
-	factDeriveInterval = 25 * time.Millisecond
+	// factInterval is the interval at which a voter determines what follows from new facts, and lets
+	// the other voters read them.
+	factInterval = 25 * time.Millisecond
 	// factPollTime is the longest time for which a voter delays the reply to a poll for facts.
 	factPollTime = 1 * time.Second
 	// factPollTimeout bounds a poll. A voter that does not reply by then is replaced by another.
@@ -35,7 +36,8 @@
 	mu        sync.Mutex
 	collector *fact.Collector
 	derived   chan struct{} // closed when what follows from the facts changes
-	told      chan struct{} // closed when an instance tells facts
+	told      chan struct{} // closed some time after instances have told facts
+	unread    bool          // instances have told facts since told was closed
 }
 
 func newFactHub() *factHub {
@@ -47,8 +49,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.collector.Tell(clock.Now(), t.Instance, t.Boot, t.Sequence, t.Batch)
-	close(h.told)
-	h.told = make(chan struct{})
+	h.unread = true
 }
 
 // merge records facts that other voters have been told.
@@ -78,11 +79,17 @@
 	}
 }
 
-// derive is the background task that determines what follows from the facts.
+// derive is the background task that determines what follows from the facts, and lets other voters read
+// them. Hundreds of instances tell facts at any moment, so the others are not woken for each.
 func (h *factHub) derive(ctx context.Context) error {
-	return task.Every(ctx, factDeriveInterval, func(context.Context) {
+	return task.Every(ctx, factInterval, func(context.Context) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
+		if h.unread {
+			h.unread = false
+			close(h.told)
+			h.told = make(chan struct{})
+		}
 		if h.collector.Derive(clock.Now()) {
 			close(h.derived)
 			h.derived = make(chan struct{})
