dispatch: requests name no software version to placers while facts are not shared; tests of both matters

An earlier version ends the connection on which it receives a placement request with a field more, so an upgrade with facts turned off would have lost its placers. TestOptionalFieldsBetweenVersions covers the message.

--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -285,7 +285,7 @@
 	p := *r.prepared
 	req := r.routeRequest(router.StageDecode)
 	req.KVRegion = p.at.Region
-	req.Software = &p.at.Software
+	req.Software = r.softwareOf(p.at)
 	decode, err := r.choose(ctx, req, 0)
 	if err != nil {
 		r.releasePrepared(ctx)
--- a/dispatch/forward_test.go
+++ b/dispatch/forward_test.go
@@ -32,6 +32,7 @@
 	prefills int
 	released []string
 	block    bool // calls block until their context ends
+	crashed  bool // targets accept no connections
 }
 
 func (s *scriptedBackend) Run(ctx context.Context, c Call) Outcome {
@@ -53,8 +54,8 @@
 	return &KVCacheRef{Address: c.Address, Handle: fmt.Sprint("h", s.prefills)}, Answered{Status: http.StatusOK}
 }
 
-// Reachable reports that every target accepts connections.
-func (s *scriptedBackend) Reachable(context.Context, string) bool { return true }
+// Reachable reports whether targets accept connections.
+func (s *scriptedBackend) Reachable(context.Context, string) bool { return !s.crashed }
 
 func (s *scriptedBackend) Release(_ context.Context, c *KVCacheRef) {
 	s.released = append(s.released, c.Handle)
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -30,18 +30,26 @@
 // bind binds the request to the software version of the target that sent the first event, and records that for
 // callers who take the stream up.
 func (r *forwardRun) bind(a *Assignment) {
-	software := a.Software
-	r.software = &software
-	if !r.req.Rule.Stream || r.d.cfg.Facts == nil {
+	r.software = r.softwareOf(a)
+	if !r.req.Rule.Stream || r.software == nil {
 		return
 	}
-	b := stream.Begun{Origin: stream.Origin{Service: r.req.Service, Software: software}, Left: r.streamRetention(), Keys: []stream.Key{stream.KeyOf(r.req.ID)}}
+	b := stream.Begun{Origin: stream.Origin{Service: r.req.Service, Software: a.Software}, Left: r.streamRetention(), Keys: []stream.Key{stream.KeyOf(r.req.ID)}}
 	if r.req.Resumes != "" && r.req.Resumes != r.req.ID {
 		b.Keys = append(b.Keys, stream.KeyOf(r.req.Resumes)) // may be taken up once more
 	}
 	r.d.cfg.Facts.streamBegun(clock.Now(), b)
 }
 
+// softwareOf returns the software version that a request at a target needs from then on, or nil if facts are
+// not shared. A placer of an earlier version cannot read a request that names one.
+func (r *forwardRun) softwareOf(a *Assignment) *ident.SoftwareVersion {
+	if r.d.cfg.Facts == nil {
+		return nil
+	}
+	return &a.Software
+}
+
 // streamRetention returns the time for which the stream may be taken up.
 func (r *forwardRun) streamRetention() time.Duration {
 	return stream.Retention(max(r.req.Rule.Timeout.AsDuration(), r.req.Budget))
--- a/peer/optional_test.go
+++ b/peer/optional_test.go
@@ -13,6 +13,7 @@
 	"github.com/hickoryridge/hickoryridge/internal/cluster/feed"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/inflight"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
+	"github.com/hickoryridge/hickoryridge/router"
 	"github.com/hickoryridge/hickoryridge/state"
 )
 
@@ -40,6 +41,19 @@
 		QueueWait    time.Duration
 		RetryAfter   time.Duration
 	}
+	earlierPlace struct {
+		Service       ident.ServiceID
+		Version       string
+		Stage         router.Stage
+		Prompt        ident.Tokens
+		Parts         []router.Part
+		Avoid         ident.TargetID
+		Urgency       router.Urgency
+		CacheRegion   ident.RegionID
+		TTFTObjective time.Duration
+		Remaining     time.Duration
+		KnownEngines  int
+	}
 	earlierNote struct {
 		Ticket  Ticket
 		Event   NoteEvent
@@ -62,6 +76,7 @@
 // without optional fields, this version those of both.
 func TestOptionalFieldsBetweenVersions(t *testing.T) {
 	rate := ident.RequestsPerSecond(7.9)
+	software := ident.SoftwareVersion("v1")
 	limits := permit.Snapshot{Run: 7, Limits: []permit.Limit{{Target: "t", Incarnation: 2, Rate: rate}}}
 	for name, test := range map[string]struct {
 		current  any // without optional fields
@@ -72,6 +87,7 @@
 		"sum":    {&Sum{Next: feed.Cursor{Run: 3, Next: 5}}, &earlierSum{Next: feed.Cursor{Run: 3, Next: 5}}, &Sum{Next: feed.Cursor{Run: 3, Next: 5}, Limits: limits}},
 		"placed": {&Placed{Ticket: 3, Target: "t", Cached: 100}, &earlierPlaced{Ticket: 3, Target: "t", Cached: 100}, &Placed{Ticket: 3, Target: "t", Cached: 100, Permitted: true}},
 		"none":   {&Placed{RetryAfter: time.Second}, &earlierPlaced{RetryAfter: time.Second}, &Placed{RetryAfter: time.Second, Limited: true}},
+		"place":  {&Place{Service: "s", Prompt: 9, KnownEngines: 3}, &earlierPlace{Service: "s", Prompt: 9, KnownEngines: 3}, &Place{Service: "s", Software: &software}},
 		"note":   {&Note{Ticket: 3, Event: NoteLoad, Running: 1, Slots: 6}, &earlierNote{3, NoteLoad, 1, 6}, &Note{Ticket: 3, Event: NoteLimited, Rate: &rate}},
 	} {
 		t.Run(name, func(t *testing.T) {
