--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -234,7 +234,7 @@
 	return err
 }
 
-// wipe deletes the data folder of a stopped instance.
+// wipe deletes the data directory of a stopped instance.
 func (c *cluster) wipe(i int) {
 	c.t.Helper()
 	if err := os.RemoveAll(c.nodes[i].settings.Data); err != nil {
--- a/e2e/quorum_test.go
+++ b/e2e/quorum_test.go
@@ -30,7 +30,7 @@
 	return n
 }
 
-// TestLostDisk deletes a voter's data folder and adds the voter with its new disk to the quorum.
+// TestLostDisk deletes a voter's data directory and adds the voter with its new disk to the quorum.
 // When a second voter fails right after the repair, no committed state may be missing.
 func TestLostDisk(t *testing.T) {
 	c := newCluster(t, 3, 3, false)
@@ -70,7 +70,7 @@
 	}
 }
 
-// TestLostDisksDoNotElect deletes two of three data folders. The two voters with empty disks must
+// TestLostDisksDoNotElect deletes two of three data directorys. The two voters with empty disks must
 // not form a quorum without the committed state.
 func TestLostDisksDoNotElect(t *testing.T) {
 	c := newCluster(t, 3, 3, false)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -2,7 +2,7 @@
 // replica of the log if the instance is a voter, the configuration lease, the target table, and
 // the listeners for callers and for operators, targets and the platform.
 //
-// An instance with a data folder is a voter: it keeps a replica of the log and can become leader.
+// An instance with a data directory is a voter: it keeps a replica of the log and can become leader.
 // An instance with a callers address is an entry: it serves callers while it holds a configuration
 // lease from the leader. One instance may be both. Where placers are enabled, one voter in each
 // region selects targets on behalf of the entries there.
@@ -97,7 +97,7 @@
 	callers, control, peer, metrics net.Listener
 }
 
-// New opens the listeners and the data folder of an instance. Run starts it.
+// New opens the listeners and the data directory of an instance. Run starts it.
 func New(s *settings.Settings, logger *logrus.Logger) (*Instance, error) {
 	boot := ident.BootID(ident.NewRandom())
 	in := &Instance{
@@ -435,7 +435,7 @@
 		return in.handleFacts(ctx, b)
 	case *peer.Form:
 		if in.voter == nil {
-			return nil, fault.New(fault.BadRequest, "this instance has no data folder")
+			return nil, fault.New(fault.BadRequest, "this instance has no data directory")
 		}
 		return in.voter.handleForm(b), nil
 	}
--- a/instance/members.go
+++ b/instance/members.go
@@ -43,7 +43,7 @@
 	}
 	formed, ok := reply.(*peer.Formed)
 	if !ok || formed.Disk == "" {
-		return fault.New(fault.BadRequest, "instance %q has no data folder", id)
+		return fault.New(fault.BadRequest, "instance %q has no data directory", id)
 	}
 	v.diskOwners.Store(formed.Disk, id)
 	members := node.Status().Members
--- a/instance/voter.go
+++ b/instance/voter.go
@@ -52,7 +52,7 @@
 	return &voter{in: in, store: store, machine: state.NewMachine(), founding: make(chan quorum.Membership, 1)}, nil
 }
 
-// disk returns the currently open data folder.
+// disk returns the currently open data directory.
 func (v *voter) disk() *quorum.Store {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -83,7 +83,7 @@
 	v.in.log.WithFields(logrus.Fields{"event": "voter_stopped", "cause": cause}).Error("the replica stopped; the instance continues without it")
 }
 
-// reopen tries to open the data folder until it succeeds or ctx ends. After a failed sync it only
+// reopen tries to open the data directory until it succeeds or ctx ends. After a failed sync it only
 // waits for ctx.
 func (v *voter) reopen(ctx context.Context, cause error) error {
 	for {
@@ -98,13 +98,13 @@
 		}
 		store, err := quorum.OpenStore(v.in.settings.Data)
 		if err != nil {
-			v.in.log.WithFields(logrus.Fields{"event": "voter_not_reopened", "cause": err}).Error("data folder cannot be opened; retrying")
+			v.in.log.WithFields(logrus.Fields{"event": "voter_not_reopened", "cause": err}).Error("data directory cannot be opened; retrying")
 			continue
 		}
 		v.mu.Lock()
 		v.store, v.stopCause = store, nil
 		v.mu.Unlock()
-		v.in.log.WithField("event", "voter_reopened").Info("data folder reopened; the replica restarts")
+		v.in.log.WithField("event", "voter_reopened").Info("data directory reopened; the replica restarts")
 		return nil
 	}
 }
--- a/internal/cluster/fact/bench_test.go
+++ b/internal/cluster/fact/bench_test.go
@@ -7,12 +7,11 @@
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/stream"
 	"github.com/hickoryridge/hickoryridge/internal/modeltest"
+	"github.com/hickoryridge/hickoryridge/internal/net/fields"
 )
 
 // peakStreams is the number of streams that begin in a second at the planned peak.
@@ -39,10 +38,7 @@
 	b.ReportMetric(float64(c.StreamCount()), "streams")
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MB")
 	var wire bytes.Buffer
-	enc := msgpack.NewEncoder(&wire)
-	enc.UseArrayEncodedStructs(true)
-	enc.UseCompactInts(true)
-	if err := enc.Encode(streamBatch(1)); err != nil {
+	if err := fields.NewEncoder(&wire).Encode(streamBatch(1)); err != nil {
 		b.Fatal(err)
 	}
 	b.ReportMetric(float64(wire.Len()), "B/told")
--- a/internal/cluster/inflight/wire_test.go
+++ b/internal/cluster/inflight/wire_test.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/net/fields"
 )
 
 // TestLoadBetweenVersions exchanges loads between this version and the previous one, which does not
@@ -53,10 +54,7 @@
 func encoded(t *testing.T, v any) []byte {
 	t.Helper()
 	var buf bytes.Buffer
-	enc := msgpack.NewEncoder(&buf)
-	enc.UseArrayEncodedStructs(true)
-	enc.UseCompactInts(true)
-	if err := enc.Encode(v); err != nil {
+	if err := fields.NewEncoder(&buf).Encode(v); err != nil {
 		t.Fatal(err)
 	}
 	return buf.Bytes()
--- a/internal/cluster/seed/seed.go
+++ b/internal/cluster/seed/seed.go
@@ -38,7 +38,7 @@
 // Info is the description that an instance returns of itself.
 type Info struct {
 	Instance
-	Voter bool `json:"voter"` // it has a data folder
+	Voter bool `json:"voter"` // it has a data directory
 	// Members holds the replicas of the log. It is empty before the quorum is founded.
 	Members []Instance `json:"members,omitempty"`
 }
--- a/internal/net/fields/fields.go
+++ b/internal/net/fields/fields.go
@@ -5,6 +5,7 @@
 package fields
 
 import (
+	"io"
 	"reflect"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -12,6 +13,15 @@
 	"github.com/hickoryridge/hickoryridge/fault"
 )
 
+// NewEncoder returns an encoder of what instances send each other: structures as arrays, integers as short as
+// they go.
+func NewEncoder(w io.Writer) *msgpack.Encoder {
+	enc := msgpack.NewEncoder(w)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	return enc
+}
+
 // Encode encodes the fields of a structure, of which the last ones are optional.
 func Encode(enc *msgpack.Encoder, optional int, fields ...any) error {
 	n := len(fields)
--- a/leader/coordinator.go
+++ b/leader/coordinator.go
@@ -70,7 +70,7 @@
 	plans        *rolePlans
 	work         *engineWork
 	sentAt       map[ident.OrderID]clock.Time   // last send by this leader; zero before it
-	refused      map[ident.OrderID]bool         // orders whose fencing number the engine refused
+	refused      map[ident.OrderID]bool         // orders whose fencing token the engine refused
 	waitReasons  map[ident.OrderID]string       // why an open order is not sent yet, for reports
 	claims       map[ident.BootID][]state.Claim // long-open receipts of live runs
 }
--- a/leader/orders.go
+++ b/leader/orders.go
@@ -18,7 +18,7 @@
 	Busy    bool          // an instance still has requests in progress there
 	State   *engine.State // nil if the engine did not reply
 	Lost    bool          // the engine left or restarted as another incarnation
-	Refused bool          // the engine refused the order's fencing number
+	Refused bool          // the engine refused the order's fencing token
 	Foreign bool          // an earlier leader opened the order, and this one must not send it
 	Age     time.Duration // time since the order was opened, from its replicated timestamp
 }
@@ -29,7 +29,7 @@
 // Wait leaves the order open without an action.
 type Wait struct{ Reason string }
 
-// Send sends the order, with the same ID and fencing number each time.
+// Send sends the order, with the same ID and fencing token each time.
 type Send struct{}
 
 // Settle closes the order with an outcome.
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -22,6 +22,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/internal/net/fields"
 )
 
 // Version is the version of the frame format and of the messages.
@@ -94,7 +95,7 @@
 // Encode returns the envelope as one frame.
 func (e Envelope) Encode() ([]byte, error) {
 	var buf bytes.Buffer
-	if err := newEncoder(&buf).EncodeMulti(uint8(e.Body.kind()), e.CallID, e.Reply, e.Body); err != nil {
+	if err := fields.NewEncoder(&buf).EncodeMulti(uint8(e.Body.kind()), e.CallID, e.Reply, e.Body); err != nil {
 		return nil, fault.Wrap(fault.Internal, err)
 	}
 	if buf.Len() > MaxFrame {
@@ -103,14 +104,6 @@
 	return AppendFrame(nil, buf.Bytes()), nil
 }
 
-// newEncoder returns an encoder of what is sent between instances.
-func newEncoder(w io.Writer) *msgpack.Encoder {
-	enc := msgpack.NewEncoder(w)
-	enc.UseArrayEncodedStructs(true)
-	enc.UseCompactInts(true)
-	return enc
-}
-
 // Decode parses the payload of a frame. Its errors are of kind fault.FrameInvalid.
 func Decode(payload []byte) (Envelope, error) {
 	var e Envelope
--- a/peer/optional_test.go
+++ b/peer/optional_test.go
@@ -13,6 +13,7 @@
 	"github.com/hickoryridge/hickoryridge/internal/cluster/feed"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/inflight"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
+	"github.com/hickoryridge/hickoryridge/internal/net/fields"
 	"github.com/hickoryridge/hickoryridge/router"
 	"github.com/hickoryridge/hickoryridge/state"
 )
@@ -66,7 +67,7 @@
 func recode(t *testing.T, from, into any) error {
 	t.Helper()
 	var buf bytes.Buffer
-	if err := newEncoder(&buf).Encode(from); err != nil {
+	if err := fields.NewEncoder(&buf).Encode(from); err != nil {
 		t.Fatal(err)
 	}
 	return msgpack.Unmarshal(buf.Bytes(), into)
--- a/target/renewal_test.go
+++ b/target/renewal_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/net/fields"
 )
 
 func ExampleRenewals() {
@@ -91,10 +92,7 @@
 	t.Helper()
 	since := to.Cursor("voter")
 	var buf bytes.Buffer
-	enc := msgpack.NewEncoder(&buf)
-	enc.UseArrayEncodedStructs(true) // as between instances
-	enc.UseCompactInts(true)
-	if err := enc.Encode(from.ListingSince(now, since)); err != nil {
+	if err := fields.NewEncoder(&buf).Encode(from.ListingSince(now, since)); err != nil {
 		t.Fatal(err)
 	}
 	size := buf.Len()
--- a/target/shared_test.go
+++ b/target/shared_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/net/fields"
 )
 
 // earlierAnnouncement is an Announcement as an earlier version knows it.
@@ -51,10 +52,7 @@
 func arrayEncoding(t *testing.T, v any) []byte {
 	t.Helper()
 	var buf bytes.Buffer
-	enc := msgpack.NewEncoder(&buf)
-	enc.UseArrayEncodedStructs(true)
-	enc.UseCompactInts(true)
-	if err := enc.Encode(v); err != nil {
+	if err := fields.NewEncoder(&buf).Encode(v); err != nil {
 		t.Fatal(err)
 	}
 	return buf.Bytes()
--- a/target/table_test.go
+++ b/target/table_test.go
@@ -13,6 +13,7 @@
 	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/net/fields"
 )
 
 const now = clock.Time(time.Hour)
@@ -124,10 +125,7 @@
 				}
 				since := other.Cursor("table")
 				var buf bytes.Buffer
-				enc := msgpack.NewEncoder(&buf)
-				enc.UseArrayEncodedStructs(true) // as between instances
-				enc.UseCompactInts(true)
-				if err := enc.Encode(table.ListingSince(now, since)); err != nil {
+				if err := fields.NewEncoder(&buf).Encode(table.ListingSince(now, since)); err != nil {
 					b.Fatal(err)
 				}
 				size = buf.Len()
