--- a/dispatch/facts.go
+++ b/dispatch/facts.go
@@ -1,11 +1,8 @@
 package dispatch
 
 import (
-	"context"
 	"sync"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
@@ -136,47 +133,3 @@
 	err := fault.New(fault.PartQuarantined, "part %s of the prompt crashes the engines of service %q and is in quarantine for %.0f s", part.ID, service, left.Seconds())
 	return fault.WithRetryAfter(err, left)
 }
-
-// checkParts returns a fault.PartQuarantined error if the request may not be sent because of its prompt.
-func (r *forwardRun) checkParts() error {
-	if !r.hasEngines || r.d.cfg.Facts == nil {
-		return nil
-	}
-	return r.d.cfg.Facts.check(clock.Now(), r.req.Service, sharedParts(r.req.Parts))
-}
-
-// recordBegun records that the first event of an answer has come.
-func (r *forwardRun) recordBegun(a *Assignment) {
-	if r.hasEngines && r.d.cfg.Facts != nil {
-		r.d.cfg.Facts.began(clock.Now(), r.partsAt(a))
-	}
-}
-
-// recordCrash finds out whether the target of an answer that broke off has crashed, and records it.
-// An engine that still accepts connections has not.
-func (r *forwardRun) recordCrash(ctx context.Context, a *Assignment, head bool) {
-	if !r.hasEngines || r.d.cfg.Facts == nil || a.gotFirstToken {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-	defer cancel()
-	if r.d.cfg.Backend.Reachable(ctx, a.Address) {
-		return
-	}
-	parts := r.partsAt(a)
-	r.d.cfg.Facts.crashed(clock.Now(), parts, quarantine.Crash{Target: a.Choice.ID, Incarnation: a.incarnation}, head)
-	r.d.cfg.Metrics.Count("engine_crashes_seen")
-	r.d.cfg.Log.WithFields(logrus.Fields{
-		"event": "engine_crashed", "request": r.req.ID, "service": r.req.Service, "target": a.Choice.ID, "incarnation": a.incarnation, "software": a.Software,
-		"parts": sharedParts(r.req.Parts), "head": head,
-	}).Info("an engine crashed before it sent an event of an answer")
-}
-
-// partsAt returns the shared parts of the prompt at the software version of a target.
-func (r *forwardRun) partsAt(a *Assignment) []quarantine.Part {
-	var parts []quarantine.Part
-	for _, id := range sharedParts(r.req.Parts) {
-		parts = append(parts, quarantine.Part{Service: r.req.Service, Software: a.Software, ID: id})
-	}
-	return parts
-}
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// releaseTimeout bounds the release of KV cache that will not be used.
-	releaseTimeout = 1 * time.Second
 	// usefulTimeoutDivisor divides a rule's timeout. Within the resulting time an answer is still
 	// useful to the caller even if it misses the objective.
 	usefulTimeoutDivisor = 4
@@ -28,9 +26,6 @@
 	// maxUnreachedTargets bounds the attempts of one request that find no usable target or KV cache
 	// at the address; see forwardRun.unreached.
 	maxUnreachedTargets = 3
-	// crashCheckTimeout bounds the time to find out whether an engine has crashed: a round trip
-	// between regions.
-	crashCheckTimeout = 100 * time.Millisecond
 )
 
 // TruncatedAnswerError means that an answer was truncated after its headers had been sent. The
@@ -77,12 +72,6 @@
 	mayHaveRun   bool                   // some attempt may have been executed
 }
 
-// preparedPrompt is a prompt that was processed at an engine which does not generate the answer.
-type preparedPrompt struct {
-	cache *KVCacheRef
-	at    *Assignment
-}
-
 // Forward sends a request to targets and its answer to sink. For an error, fault.ResponseOf says
 // whether the request ran. A TruncatedAnswerError means that the answer has begun and cannot be
 // completed.
@@ -278,37 +267,6 @@
 	return r.runPrepared(ctx)
 }
 
-// runPrepared generates the answer to a prompt that was processed at another engine. The KV cache stays
-// for another attempt if no engine received the request. It is used only by engines of the same
-// software version; if there is none, another engine processes the prompt again.
-func (r *forwardRun) runPrepared(ctx context.Context) (retry bool, err error) {
-	p := *r.prepared
-	req := r.routeRequest(router.StageDecode)
-	req.KVRegion = p.at.Region
-	req.Software = r.softwareOf(p.at)
-	decode, err := r.choose(ctx, req, 0)
-	if err != nil {
-		r.releasePrepared(ctx)
-		if r.software != nil || !fault.Is(err, fault.NoTarget) {
-			return false, err
-		}
-		if decode, err = r.choose(ctx, r.routeRequest(router.StageDecode), 0); err != nil {
-			return false, err
-		}
-		return r.runAt(ctx, decode, nil)
-	}
-	r.cacheKept = false
-	retry, err = r.runAt(ctx, decode, p.cache)
-	switch {
-	case err != nil && retry && r.cacheKept:
-	case err != nil && !r.headerSent:
-		r.releasePrepared(ctx)
-	default:
-		r.prepared = nil
-	}
-	return retry, err
-}
-
 // place chooses a target. Placers choose engines only, because plain services have few targets and
 // short requests.
 func (r *forwardRun) place(ctx context.Context, req router.Request, objective time.Duration) (*Assignment, error) {
@@ -350,33 +308,6 @@
 	return Call{Request: r.req, Target: a.Choice.ID, Address: a.Address, Source: a.Source, Remaining: r.req.remaining(clock.Now()), LastEventID: r.lastEventID}
 }
 
-func (r *forwardRun) prefill(ctx context.Context, a *Assignment) (*KVCacheRef, Outcome) {
-	defer a.Finish()
-	r.d.recordSent(a)
-	cache, outcome := r.d.cfg.Backend.Prefill(ctx, r.call(a))
-	if cache != nil {
-		a.FirstToken()
-		a.ReportAnswer(false)
-	}
-	if answered, ok := outcome.(Answered); ok {
-		r.d.recordLimit(a, r.req.ID, answered.Limit)
-	}
-	return cache, outcome
-}
-
-// releasePrepared frees KV cache that will not be used, at the engine that processed the prompt. An
-// engine with a rate limit frees it by itself after some time if there is no permit for the call.
-func (r *forwardRun) releasePrepared(ctx context.Context) {
-	p := r.prepared
-	r.prepared = nil
-	if !p.at.takePermit() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
-	defer cancel()
-	r.d.cfg.Backend.Release(ctx, p.cache)
-}
-
 // runAt runs the request at a target and relays its answer.
 func (r *forwardRun) runAt(ctx context.Context, a *Assignment, cache *KVCacheRef) (retry bool, err error) {
 	defer a.Finish()
@@ -454,31 +385,6 @@
 	}
 }
 
-// recordBroken records that the target gave no complete answer, although the caller was still there.
-// head is set if the head of the answer arrived.
-func (r *forwardRun) recordBroken(ctx context.Context, a *Assignment, head bool, cause error) {
-	a.ReportAnswer(true)
-	a.MarkFailed()
-	r.recordCrash(ctx, a, head)
-	if !r.hasEngines {
-		return
-	}
-	r.d.cfg.Log.WithFields(logrus.Fields{
-		"event": "answer_broken", "request": r.req.ID, "service": r.req.Service, "target": a.Choice.ID, "incarnation": a.incarnation,
-		"parts": sharedParts(r.req.Parts), "head": head, "begun": a.gotFirstToken, "after": r.lastEventID, "ms": clock.Now().Sub(a.sentAt).Milliseconds(), "cause": cause,
-	}).Info("an engine's answer broke off")
-}
-
-// sharedParts returns the ids of the parts of a prompt that other requests may have too: all but the
-// last one.
-func sharedParts(parts []router.Part) []string {
-	var ids []string
-	for _, p := range parts[:max(0, len(parts)-1)] {
-		ids = append(ids, p.ID)
-	}
-	return ids
-}
-
 // mayResend reports whether the rule allows a request that may have been executed to be sent again.
 func (r *forwardRun) mayResend() bool {
 	return r.req.Rule.Retry != desired.RetryNever && r.attemptsSent < r.req.Rule.MaxAttempts()
