--- a/dispatch/facts.go
+++ b/dispatch/facts.go
@@ -11,10 +11,10 @@
 	"github.com/hickoryridge/hickoryridge/internal/cluster/stream"
 )
 
-// Facts holds what this instance has seen and tells the others, and what it has learned from them; see
+// Facts holds what this instance has seen and publishes, and what the voters derived; see
 // packages fact and quarantine. It is safe for concurrent use.
 type Facts struct {
-	wanted chan struct{} // signals that there are facts to tell
+	wanted chan struct{} // signals that there are facts to publish
 
 	mu     sync.Mutex
 	outbox fact.Outbox
@@ -27,24 +27,24 @@
 	return &Facts{wanted: make(chan struct{}, 1), memory: quarantine.NewMemory(instance), begun: stream.NewMemory(clock.Now())}
 }
 
-// Wanted returns the channel that signals that there may be facts to tell.
+// Wanted returns the channel that signals that there may be facts to publish.
 func (f *Facts) Wanted() <-chan struct{} { return f.wanted }
 
-// Take returns the facts to tell, as one batch with its sequence. The batch is empty if there are none.
+// Take returns the facts to publish, as one batch with its sequence. The batch is empty if there are none.
 func (f *Facts) Take(now clock.Time) (fact.Batch, fact.Sequence) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.outbox.Take(now)
 }
 
-// Told returns the sequence of the last batch.
-func (f *Facts) Told() fact.Sequence {
+// Last returns the sequence of the last batch.
+func (f *Facts) Last() fact.Sequence {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.outbox.Last()
 }
 
-// Repeat causes all facts that still matter to be told again.
+// Repeat causes all facts that still matter to be published again.
 func (f *Facts) Repeat(now clock.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -75,7 +75,7 @@
 	return f.memory.List(now)
 }
 
-// add adds evidence to be told. f.mu is held.
+// add adds evidence to publish. f.mu is held.
 func (f *Facts) add(now clock.Time, r quarantine.Report) {
 	if r.Empty() {
 		return
@@ -100,7 +100,7 @@
 	return f.begun.Find(now, k)
 }
 
-// signal signals that there are facts to tell. f.mu is held.
+// signal signals that there are facts to publish. f.mu is held.
 func (f *Facts) signal() {
 	select {
 	case f.wanted <- struct{}{}:
--- a/dispatch/facts_test.go
+++ b/dispatch/facts_test.go
@@ -124,8 +124,8 @@
 	err    error
 }
 
-// Recall returns the origin of the known stream.
-func (f fakeOrigins) Recall(_ context.Context, k stream.Key, _ ident.ServiceID, _ time.Duration) (stream.Origin, bool, error) {
+// FindOrigin returns the origin of the known stream.
+func (f fakeOrigins) FindOrigin(_ context.Context, k stream.Key, _ ident.ServiceID, _ time.Duration) (stream.Origin, bool, error) {
 	return f.origin, k == f.known, f.err
 }
 
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -17,14 +17,14 @@
 // A stream goes on only at targets of the software version that began it, within an answer and when
 // its caller takes it up; see package stream. With its first event, a request is bound to that version.
 
-// recallRetryAfter is the retry delay of a caller whose stream could not be looked up.
-const recallRetryAfter = 500 * time.Millisecond
+// originRetryAfter is the retry delay of a caller whose stream could not be looked up.
+const originRetryAfter = 500 * time.Millisecond
 
 // StreamOrigins looks up what began streams of other instances.
 type StreamOrigins interface {
-	// Recall returns what began a stream of a service, within the given time. It returns false if that is
-	// not known and cannot be told otherwise, and an error if nobody could be asked.
-	Recall(ctx context.Context, k stream.Key, service ident.ServiceID, within time.Duration) (stream.Origin, bool, error)
+	// FindOrigin returns what began a stream of a service, within the given time. It returns false if that is
+	// not known and does not follow otherwise, and an error if no voter replied.
+	FindOrigin(ctx context.Context, k stream.Key, service ident.ServiceID, within time.Duration) (stream.Origin, bool, error)
 }
 
 // bind binds the request to the software version of the target that sent the first event, and records that for
@@ -68,7 +68,7 @@
 		err = fault.New(fault.StreamUnknown, "the stream belongs to service %q, which the rule does not name", origin.Service)
 	}
 	r.d.cfg.Log.WithFields(logrus.Fields{
-		"event": "stream_taken_up", "request": f.ID, "resumes": f.Resumes, "after": f.LastEventID, "service": origin.Service, "software": origin.Software, "told": from, "cause": err,
+		"event": "stream_taken_up", "request": f.ID, "resumes": f.Resumes, "after": f.LastEventID, "service": origin.Service, "software": origin.Software, "record": from, "cause": err,
 	}).Info("a caller takes up a stream")
 	if err != nil {
 		r.d.cfg.Metrics.Count("streams_unknown")
@@ -80,7 +80,7 @@
 	return nil
 }
 
-// findOrigin returns what began the stream that the caller takes up, and who told it.
+// findOrigin returns what began the stream that the caller takes up, and where the record was.
 func (r *forwardRun) findOrigin(ctx context.Context) (origin stream.Origin, from string, err error) {
 	f := r.req
 	key := stream.KeyOf(f.Resumes)
@@ -88,15 +88,15 @@
 		return origin, "this instance", nil
 	}
 	if r.d.cfg.Origins == nil {
-		return origin, "", fault.New(fault.StreamUnknown, "nobody knows which software version began the stream")
+		return origin, "", fault.New(fault.StreamUnknown, "no voter has a record of the software version that began the stream")
 	}
-	origin, ok, err := r.d.cfg.Origins.Recall(ctx, key, f.Service, r.streamRetention())
+	origin, ok, err := r.d.cfg.Origins.FindOrigin(ctx, key, f.Service, r.streamRetention())
 	switch {
 	case err != nil:
-		err = fault.New(fault.StreamUnknown, "no voter told which software version began the stream: %v", err)
-		return origin, "", fault.WithRetryAfter(err, recallRetryAfter)
+		err = fault.New(fault.StreamUnknown, "no voter replied which software version began the stream: %v", err)
+		return origin, "", fault.WithRetryAfter(err, originRetryAfter)
 	case !ok:
-		return origin, "", fault.New(fault.StreamUnknown, "nobody knows which software version began the stream")
+		return origin, "", fault.New(fault.StreamUnknown, "no voter has a record of the software version that began the stream")
 	}
 	return origin, "a voter", nil
 }
--- a/instance/facthub.go
+++ b/instance/facthub.go
@@ -36,59 +36,59 @@
 	mu        sync.Mutex
 	collector *fact.Collector
 	derived   chan struct{} // closed when what follows from the facts changes
-	told      chan struct{} // closed some time after instances have told facts
-	unread    bool          // instances have told facts since told was closed
+	published chan struct{} // closed some time after instances have published facts
+	unread    bool          // instances have published facts since published was closed
 }
 
 func newFactHub() *factHub {
-	return &factHub{collector: fact.NewCollector(clock.Now(), rand.Uint64()|1), derived: make(chan struct{}), told: make(chan struct{})}
+	return &factHub{collector: fact.NewCollector(clock.Now(), rand.Uint64()|1), derived: make(chan struct{}), published: make(chan struct{})}
 }
 
-// tell records facts that an instance tells.
-func (h *factHub) tell(t *peer.Tell) {
+// publish records facts that an instance publishes.
+func (h *factHub) publish(t *peer.Publish) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.collector.Tell(clock.Now(), t.Instance, t.Boot, t.Sequence, t.Batch)
+	h.collector.Publish(clock.Now(), t.Instance, t.Boot, t.Sequence, t.Batch)
 	h.unread = true
 }
 
-// merge records facts that other voters have been told.
+// merge records facts that other voters have received.
 func (h *factHub) merge(b fact.Batch) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.collector.Merge(clock.Now(), b)
 }
 
-// recall returns what began a stream. versions returns the software versions of a service's targets.
-func (h *factHub) recall(r *peer.Recall, versions func(ident.ServiceID) []ident.SoftwareVersion) *peer.Recalled {
+// findStream returns what began a stream. versions returns the software versions of a service's targets.
+func (h *factHub) findStream(r *peer.FindStream, versions func(ident.ServiceID) []ident.SoftwareVersion) *peer.StreamFound {
 	h.mu.Lock()
 	origin, known := h.collector.Origin(clock.Now(), r.Stream)
 	covered := h.collector.Covers(clock.Now(), r.Within)
 	h.mu.Unlock()
 	if known {
-		return &peer.Recalled{Known: true, Origin: origin}
+		return &peer.StreamFound{Known: true, Origin: origin}
 	}
 	all := versions(r.Service)
 	switch {
 	case len(all) > 1:
-		return &peer.Recalled{Several: true}
+		return &peer.StreamFound{Several: true}
 	case len(all) == 1 && covered:
-		return &peer.Recalled{Sole: true, Origin: stream.Origin{Service: r.Service, Software: all[0]}}
+		return &peer.StreamFound{Sole: true, Origin: stream.Origin{Service: r.Service, Software: all[0]}}
 	default:
-		return &peer.Recalled{}
+		return &peer.StreamFound{}
 	}
 }
 
 // derive is the background task that determines what follows from the facts, and lets other voters read
-// them. Hundreds of instances tell facts at any moment, so the others are not woken for each.
+// them. Hundreds of instances publish facts at any moment, so the others are not woken for each.
 func (h *factHub) derive(ctx context.Context) error {
 	return task.Every(ctx, factInterval, func(context.Context) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		if h.unread {
 			h.unread = false
-			close(h.told)
-			h.told = make(chan struct{})
+			close(h.published)
+			h.published = make(chan struct{})
 		}
 		if h.collector.Derive(clock.Now()) {
 			close(h.derived)
@@ -97,9 +97,9 @@
 	})
 }
 
-// learn returns what follows from the facts, once that differs from what the instance has or some time
+// watch returns what follows from the facts, once that differs from what the instance has or some time
 // has passed.
-func (h *factHub) learn(ctx context.Context, l *peer.Learn) *peer.Learned {
+func (h *factHub) watch(ctx context.Context, l *peer.Watch) *peer.Watched {
 	h.mu.Lock()
 	_, mark := h.collector.Suspects()
 	changed := h.derived
@@ -110,15 +110,15 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	suspects, mark := h.collector.Suspects()
-	return &peer.Learned{Missing: h.collector.Missing(l.Instance, l.Boot, l.Told), Mark: mark, Suspects: suspects}
+	return &peer.Watched{Missing: h.collector.Missing(l.Instance, l.Boot, l.Last), Mark: mark, Suspects: suspects}
 }
 
-// relay returns what this voter has been told since a cursor, once there is something or some time has
+// relay returns what this voter has received since a cursor, once there is something or some time has
 // passed.
 func (h *factHub) relay(ctx context.Context, r *peer.Relay) *peer.Relayed {
-	batch, next, told := h.since(r.Since)
+	batch, next, published := h.since(r.Since)
 	if next == r.Since {
-		wait(ctx, told)
+		wait(ctx, published)
 		batch, next, _ = h.since(r.Since)
 	}
 	return &peer.Relayed{Batch: batch, Next: next}
@@ -128,7 +128,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	batch, next := h.collector.Since(clock.Now(), c)
-	return batch, next, h.told
+	return batch, next, h.published
 }
 
 // wait waits for an event, for factPollTime at most.
@@ -150,21 +150,21 @@
 	ctx, cancel := context.WithTimeout(ctx, handleTimeout)
 	defer cancel()
 	switch b := b.(type) {
-	case *peer.Tell:
-		in.factHub.tell(b)
+	case *peer.Publish:
+		in.factHub.publish(b)
 		return nil, nil
-	case *peer.Learn:
-		return in.factHub.learn(ctx, b), nil
+	case *peer.Watch:
+		return in.factHub.watch(ctx, b), nil
 	case *peer.Relay:
 		return in.factHub.relay(ctx, b), nil
-	case *peer.Recall:
-		return in.factHub.recall(b, in.targetPool.SoftwareVersions), nil
+	case *peer.FindStream:
+		return in.factHub.findStream(b, in.targetPool.SoftwareVersions), nil
 	default:
 		return nil, fault.New(fault.FrameInvalid, "unexpected message of type %T about facts", b)
 	}
 }
 
-// relayFacts is the background task of a voter that reads what the other voters have been told.
+// relayFacts is the background task of a voter that reads what the other voters have received.
 func (in *Instance) relayFacts(ctx context.Context) error {
 	reading := map[ident.InstanceID]chan struct{}{} // closed when a reader has ended
 	for {
@@ -187,7 +187,7 @@
 	}
 }
 
-// readFacts reads what a voter has been told until it is no voter any more or ctx ends. It closes end when it
+// readFacts reads what a voter has received until it is no voter any more or ctx ends. It closes end when it
 // returns.
 func (in *Instance) readFacts(ctx context.Context, from ident.InstanceID, end chan<- struct{}) {
 	defer close(end)
--- a/instance/facts.go
+++ b/instance/facts.go
@@ -21,16 +21,16 @@
 // while there are others.
 const factVoterSkip = 1 * time.Second
 
-// factClient tells facts to a voter and learns from it what follows from the facts of all instances. It
+// factClient publishes facts to a voter and reads from it what follows from the facts of all instances. It
 // is safe for concurrent use.
 type factClient struct {
 	in    *Instance
 	facts *dispatch.Facts
 
-	skipUntil map[ident.InstanceID]clock.Time // voters that did not reply; owned by learn
+	skipUntil map[ident.InstanceID]clock.Time // voters that did not reply; owned by watch
 
 	mu    sync.Mutex
-	voter ident.InstanceID // that this instance tells and asks; empty if there is none
+	voter ident.InstanceID // that this instance publishes to and watches; empty if there is none
 }
 
 func newFactClient(in *Instance) *factClient {
@@ -70,8 +70,8 @@
 	return voter == in.settings.Instance || in.placerClient != nil && in.placerClient.inRegion(voter)
 }
 
-// tell is the background task that tells facts as soon as there are any.
-func (c *factClient) tell(ctx context.Context) error {
+// publish is the background task that publishes facts as soon as there are any.
+func (c *factClient) publish(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -80,24 +80,24 @@
 		}
 		to := c.current()
 		if to == "" {
-			continue // told once a voter is found
+			continue // published once a voter is found
 		}
 		if b, s := c.facts.Take(clock.Now()); !b.Empty() {
-			c.send(to, &peer.Tell{Instance: c.in.settings.Instance, Boot: c.in.boot, Sequence: s, Batch: b})
+			c.send(to, &peer.Publish{Instance: c.in.settings.Instance, Boot: c.in.boot, Sequence: s, Batch: b})
 		}
 	}
 }
 
-func (c *factClient) send(to ident.InstanceID, t *peer.Tell) {
+func (c *factClient) send(to ident.InstanceID, t *peer.Publish) {
 	if to == c.in.settings.Instance {
-		c.in.factHub.tell(t)
+		c.in.factHub.publish(t)
 		return
 	}
 	c.in.network.Send(to, t)
 }
 
-// learn is the background task that learns what follows from the facts of all instances.
-func (c *factClient) learn(ctx context.Context) error {
+// watch is the background task that reads what follows from the facts of all instances.
+func (c *factClient) watch(ctx context.Context) error {
 	var seen fact.Mark
 	for ctx.Err() == nil {
 		to, changed := c.choose(clock.Now())
@@ -105,10 +105,10 @@
 			c.facts.Repeat(clock.Now())
 			c.in.log.WithFields(logrus.Fields{"event": "facts_from", "voter": to}).Info("facts are shared through this voter")
 		}
-		learned, err := c.poll(ctx, to, seen)
+		watched, err := c.poll(ctx, to, seen)
 		if err == nil {
-			seen = learned.Mark
-			c.apply(learned)
+			seen = watched.Mark
+			c.apply(watched)
 			continue
 		}
 		c.skipUntil[to] = clock.Now().Add(factVoterSkip)
@@ -120,20 +120,20 @@
 	return ctx.Err()
 }
 
-func (c *factClient) poll(ctx context.Context, to ident.InstanceID, seen fact.Mark) (*peer.Learned, error) {
+func (c *factClient) poll(ctx context.Context, to ident.InstanceID, seen fact.Mark) (*peer.Watched, error) {
 	if to == "" {
 		return nil, fault.New(fault.NoQuorum, "no voter has been found yet")
 	}
 	ctx, cancel := context.WithTimeout(ctx, factPollTimeout)
 	defer cancel()
-	request := &peer.Learn{Instance: c.in.settings.Instance, Boot: c.in.boot, Told: c.facts.Told(), Seen: seen}
+	request := &peer.Watch{Instance: c.in.settings.Instance, Boot: c.in.boot, Last: c.facts.Last(), Seen: seen}
 	if to == c.in.settings.Instance {
-		return c.in.factHub.learn(ctx, request), nil
+		return c.in.factHub.watch(ctx, request), nil
 	}
-	return callAs[*peer.Learned](ctx, c.in.network.Call, to, request)
+	return callAs[*peer.Watched](ctx, c.in.network.Call, to, request)
 }
 
-func (c *factClient) apply(l *peer.Learned) {
+func (c *factClient) apply(l *peer.Watched) {
 	now := clock.Now()
 	if l.Missing {
 		c.facts.Repeat(now)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -292,8 +292,8 @@
 		g.Go("permits", in.acquirePermits)
 	}
 	if in.factClient != nil {
-		g.Go("facts tell", in.factClient.tell)
-		g.Go("facts learn", in.factClient.learn)
+		g.Go("facts publish", in.factClient.publish)
+		g.Go("facts watch", in.factClient.watch)
 	}
 	if in.factHub != nil {
 		g.Go("facts derive", in.factHub.derive)
@@ -431,7 +431,7 @@
 			in.logLimits("placement", in.placer.Notify(b.Notes))
 		}
 		return nil, nil
-	case *peer.Tell, *peer.Learn, *peer.Relay, *peer.Recall:
+	case *peer.Publish, *peer.Watch, *peer.Relay, *peer.FindStream:
 		return in.handleFacts(ctx, b)
 	case *peer.Form:
 		if in.voter == nil {
--- /dev/null
+++ b/instance/streams.go
@@ -0,0 +1,92 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/dispatch"
+	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/stream"
+	"github.com/hickoryridge/hickoryridge/peer"
+)
+
+const (
+	// findTimeout bounds the question to one voter: two round trips between regions.
+	findTimeout = 100 * time.Millisecond
+	// findPause is the time until a voter without a record of a stream is asked again together with all
+	// others. By then, what an instance published to one voter has reached them.
+	findPause = 60 * time.Millisecond
+)
+
+var _ dispatch.StreamOrigins = (*factClient)(nil)
+
+// FindOrigin returns what began a stream. See dispatch.StreamOrigins.
+func (c *factClient) FindOrigin(ctx context.Context, k stream.Key, service ident.ServiceID, within time.Duration) (stream.Origin, bool, error) {
+	request := &peer.FindStream{Stream: k, Service: service, Within: within}
+	first, err := c.findAt(ctx, c.current(), request)
+	if err == nil && first.Known {
+		return first.Origin, true, nil
+	}
+	select {
+	case <-ctx.Done():
+		return stream.Origin{}, false, ctx.Err()
+	case <-time.After(findPause):
+	}
+	return c.findAtAll(ctx, request)
+}
+
+// findAtAll asks all voters at once. It returns an error if none replied. Without any
+// record, the stream goes on at the only version of the service, unless one voter has seen more.
+func (c *factClient) findAtAll(ctx context.Context, request *peer.FindStream) (stream.Origin, bool, error) {
+	type result struct {
+		found *peer.StreamFound
+		err      error
+	}
+	voters := c.in.roster.Voters()
+	results := make(chan result, len(voters))
+	for _, id := range voters {
+		go func() {
+			found, err := c.findAt(ctx, id, request)
+			results <- result{found, err}
+		}()
+	}
+	err := fault.New(fault.NoQuorum, "no voter has been found yet")
+	replied, several := false, false
+	var sole *peer.StreamFound
+	for range voters {
+		r := <-results
+		switch {
+		case r.err != nil:
+			err = r.err
+		case r.found.Known:
+			return r.found.Origin, true, nil
+		default:
+			replied = true
+			several = several || r.found.Several
+			if r.found.Sole {
+				sole = r.found
+			}
+		}
+	}
+	switch {
+	case sole != nil && !several:
+		return sole.Origin, true, nil
+	case replied:
+		return stream.Origin{}, false, nil
+	default:
+		return stream.Origin{}, false, err
+	}
+}
+
+func (c *factClient) findAt(ctx context.Context, voter ident.InstanceID, request *peer.FindStream) (*peer.StreamFound, error) {
+	if voter == "" {
+		return nil, fault.New(fault.NoQuorum, "no voter has been found yet")
+	}
+	if voter == c.in.settings.Instance {
+		return c.in.factHub.findStream(request, c.in.targetPool.SoftwareVersions), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	return callAs[*peer.StreamFound](ctx, c.in.network.Call, voter, request)
+}
--- a/internal/cluster/fact/bench_test.go
+++ b/internal/cluster/fact/bench_test.go
@@ -21,7 +21,7 @@
 	return Batch{Streams: []stream.Begun{{Origin: stream.Origin{Service: "advisor", Software: "v1.1"}, Left: stream.MinRetention, Keys: []stream.Key{stream.KeyOf(fmt.Sprint(n))}}}}
 }
 
-// BenchmarkStreams records streams at a voter that are told one by one, at the planned peak, and reports the
+// BenchmarkStreams records streams at a voter that are published one by one, at the planned peak, and reports the
 // memory that they take and the size of one on the wire.
 func BenchmarkStreams(b *testing.B) {
 	var before, after runtime.MemStats
@@ -30,7 +30,7 @@
 	c := NewCollector(modeltest.Start, 1)
 	n := 0
 	for b.Loop() {
-		c.Tell(modeltest.Start.Add(time.Duration(n)*time.Second/peakStreams), "i", "boot", Sequence(n+1), streamBatch(n))
+		c.Publish(modeltest.Start.Add(time.Duration(n)*time.Second/peakStreams), "i", "boot", Sequence(n+1), streamBatch(n))
 		n++
 	}
 	runtime.GC()
@@ -41,7 +41,7 @@
 	if err := fields.NewEncoder(&wire).Encode(streamBatch(1)); err != nil {
 		b.Fatal(err)
 	}
-	b.ReportMetric(float64(wire.Len()), "B/told")
+	b.ReportMetric(float64(wire.Len()), "B/published")
 	runtime.KeepAlive(c)
 }
 
@@ -55,7 +55,7 @@
 			for depth, id := range []string{fmt.Sprint("first", r%4), fmt.Sprint("second", (e*20+r)%5000)} {
 				report.Crashed = append(report.Crashed, quarantine.Crashed{Part: quarantine.Part{Service: "s", ID: id}, Crash: quarantine.Crash{Target: ident.TargetID(fmt.Sprint(e)), Incarnation: 1}, Depth: depth})
 			}
-			c.Tell(modeltest.Start, "i", "boot", 1, Batch{Evidence: report})
+			c.Publish(modeltest.Start, "i", "boot", 1, Batch{Evidence: report})
 		}
 	}
 	now := modeltest.Start
--- a/internal/cluster/fact/collector.go
+++ b/internal/cluster/fact/collector.go
@@ -22,13 +22,13 @@
 )
 
 // warmUpTime is the time from the start of a voter until it puts parts in quarantine. By then the other
-// voters and the instances have told it again what speaks for a part, not only what speaks against.
+// voters and the instances have published again what speaks for a part, not only what speaks against.
 const warmUpTime = 2 * time.Second
 
-// Collector holds the facts that a voter has been told, and what follows from them. Use NewCollector.
+// Collector holds the facts that a voter has received, and what follows from them. Use NewCollector.
 // It is not safe for concurrent use.
 type Collector struct {
-	// The facts that instances told this voter, by kind, so that streams do not displace evidence.
+	// The facts that instances published to this voter, by kind, so that streams do not displace evidence.
 	evidenceLog, streamLog *feed.Log[stamped]
 
 	received map[ident.InstanceID]received
@@ -56,8 +56,8 @@
 	}
 }
 
-// Tell records the batch of an instance.
-func (c *Collector) Tell(now clock.Time, from ident.InstanceID, boot ident.BootID, s Sequence, b Batch) {
+// Publish records the batch of an instance.
+func (c *Collector) Publish(now clock.Time, from ident.InstanceID, boot ident.BootID, s Sequence, b Batch) {
 	r := c.received[from]
 	if r.boot != boot {
 		r = received{boot: boot}
@@ -79,13 +79,13 @@
 	return s > 0 && (r.boot != boot || r.last < s)
 }
 
-// Cursor is a position in what instances have told a voter.
+// Cursor is a position in what instances have published to a voter.
 type Cursor struct {
 	Evidence feed.Cursor `msgpack:"evidence"`
 	Streams  feed.Cursor `msgpack:"streams"`
 }
 
-// Since returns what instances have told this voter since a cursor, and the cursor after it.
+// Since returns what instances have published to this voter since a cursor, and the cursor after it.
 func (c *Collector) Since(now clock.Time, since Cursor) (Batch, Cursor) {
 	evidence, nextEvidence := c.evidenceLog.Since(since.Evidence)
 	streams, nextStreams := c.streamLog.Since(since.Streams)
@@ -94,16 +94,16 @@
 	return b, Cursor{nextEvidence, nextStreams}
 }
 
-// Merge records what another voter has been told.
+// Merge records what another voter has received.
 func (c *Collector) Merge(now clock.Time, b Batch) { c.apply(now, b) }
 
-// Origin returns what began a stream, and false if no instance told it.
+// Origin returns what began a stream, and false if no instance published it.
 func (c *Collector) Origin(now clock.Time, k stream.Key) (stream.Origin, bool) {
 	return c.streams.Find(now, k)
 }
 
-// Covers reports whether a stream that began within the given time would be known, had its instance told
-// it.
+// Covers reports whether a stream that began within the given time would be known, had its instance
+// published it.
 func (c *Collector) Covers(now clock.Time, d time.Duration) bool { return c.streams.Covers(now, d) }
 
 // StreamCount returns the number of streams that are remembered.
--- a/internal/cluster/fact/fact.go
+++ b/internal/cluster/fact/fact.go
@@ -1,13 +1,13 @@
 // Package fact shares facts that one instance has seen with all others, through the voters.
 //
-// An instance tells what it has seen to one voter, at once and without waiting for a reply. The voters
-// read each other's facts, so that each of them knows all, and the facts outlive the instance, the
-// leader and any one voter. What all instances have to know, the voters derive from the facts, and
+// An instance publishes what it has seen to one voter, at once and without waiting for a reply. The voters
+// read each other's facts, so that each of them has all, and the facts outlive the instance, the
+// leader and any one voter. What all instances need, the voters derive from the facts, and
 // every instance reads it from its voter by a long poll.
 //
 // Nothing is acknowledged one by one. With each poll an instance says which of its batches was its last. If
-// the voter has not received it, or if the instance has turned to another voter, the instance tells
-// again what still matters. Facts have the same effect if they are told again.
+// the voter has not received it, or if the instance has turned to another voter, the instance publishes
+// again what still matters. Facts have the same effect if they are published again.
 //
 // Outbox is the part of an instance, Collector that of a voter. Neither does I/O, holds a lock or
 // reads a clock: the caller serializes access and passes the time.
--- a/internal/cluster/fact/model_test.go
+++ b/internal/cluster/fact/model_test.go
@@ -95,10 +95,10 @@
 func (m *model) choose(in *modelInstance) {
 	in.voter = m.voters[m.rng.IntN(len(m.voters))]
 	in.outbox.Repeat(m.Now)
-	m.tell(in)
+	m.publish(in)
 }
 
-// relay reads what the other voters have been told.
+// relay reads what the other voters have received.
 func (m *model) relay(v *modelVoter) {
 	m.After(pollPause+m.latency(), func() { m.relay(v) })
 	for _, from := range m.voters {
@@ -120,7 +120,7 @@
 }
 
 // tell sends the facts of an instance to its voter.
-func (m *model) tell(in *modelInstance) {
+func (m *model) publish(in *modelInstance) {
 	b, s := in.outbox.Take(m.Now)
 	if b.Empty() {
 		return
@@ -128,7 +128,7 @@
 	v := in.voter
 	m.After(m.latency(), func() {
 		if !v.stopped {
-			v.collector.Tell(m.Now, in.id, "boot", s, b)
+			v.collector.Publish(m.Now, in.id, "boot", s, b)
 		}
 	})
 }
@@ -149,7 +149,7 @@
 			}
 			_, due := in.memory.Apply(m.Now, mark.Run, suspects)
 			m.add(in, due)
-			m.tell(in)
+			m.publish(in)
 			m.After(pollPause, func() { m.poll(in) })
 		})
 	})
@@ -157,7 +157,7 @@
 
 func (m *model) add(in *modelInstance, r quarantine.Report) {
 	in.outbox.Add(m.Now, Batch{Evidence: r})
-	m.tell(in)
+	m.publish(in)
 }
 
 func partsOf(ids ...string) []quarantine.Part {
--- a/internal/cluster/fact/outbox.go
+++ b/internal/cluster/fact/outbox.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// retention is the time for which told facts are kept to be told again.
+	// retention is the time for which published facts are kept to be published again.
 	retention = 2 * time.Minute
 	// maxKept bounds the batches that are kept.
 	maxKept = 1024
@@ -16,9 +16,9 @@
 // Outbox holds the facts of one instance until they no longer matter. The zero value is ready to use.
 // It is not safe for concurrent use.
 type Outbox struct {
-	pending []stamped // not told yet
-	told    []stamped
-	last    Sequence
+	pending   []stamped // not published yet
+	published []stamped
+	last      Sequence
 }
 
 // stamped is a batch with the time at which its ages were true.
@@ -27,27 +27,27 @@
 	at    clock.Time
 }
 
-// Add adds facts to be told.
+// Add adds facts to publish.
 func (o *Outbox) Add(now clock.Time, b Batch) {
 	if !b.Empty() {
 		o.pending = append(o.pending, stamped{b, now})
 	}
 }
 
-// Pending reports whether there are facts to be told.
+// Pending reports whether there are facts to publish.
 func (o *Outbox) Pending() bool { return len(o.pending) > 0 }
 
 // Last returns the sequence of the last batch that was taken.
 func (o *Outbox) Last() Sequence { return o.last }
 
-// Take returns the facts that have not been told as one batch. It is empty if there are none.
+// Take returns the facts that have not been published as one batch. It is empty if there are none.
 func (o *Outbox) Take(now clock.Time) (Batch, Sequence) {
 	if len(o.pending) == 0 {
 		return Batch{}, o.last
 	}
 	o.last++
 	b := join(now, o.pending)
-	o.told = append(o.told, o.pending...)
+	o.published = append(o.published, o.pending...)
 	o.pending = nil
 	o.drop(now)
 	return b, o.last
@@ -56,17 +56,17 @@
 // Repeat makes all facts that still matter pending again.
 func (o *Outbox) Repeat(now clock.Time) {
 	o.drop(now)
-	o.pending = append(o.told, o.pending...)
-	o.told = nil
+	o.pending = append(o.published, o.pending...)
+	o.published = nil
 }
 
-// drop removes told facts that no longer matter.
+// drop removes published facts that no longer matter.
 func (o *Outbox) drop(now clock.Time) {
-	first := max(0, len(o.told)-maxKept)
-	for first < len(o.told) && now.Sub(o.told[first].at) > retention {
+	first := max(0, len(o.published)-maxKept)
+	for first < len(o.published) && now.Sub(o.published[first].at) > retention {
 		first++
 	}
-	o.told = append([]stamped(nil), o.told[first:]...)
+	o.published = append([]stamped(nil), o.published[first:]...)
 }
 
 // join returns the facts of several batches with their ages as of now.
--- a/internal/cluster/fact/streams_test.go
+++ b/internal/cluster/fact/streams_test.go
@@ -43,7 +43,7 @@
 	in.outbox.Add(m.Now, Batch{Streams: []stream.Begun{{Origin: s.origin, Left: stream.Retention(streamLife), Keys: []stream.Key{stream.KeyOf(s.id)}}}})
 	m.After(10*time.Millisecond, func() {
 		if m.alive(in) {
-			m.tell(in)
+			m.publish(in)
 		}
 	})
 	m.After(time.Duration(m.rng.Int64N(int64(streamLife))), func() { m.takeUp(s) })
--- a/internal/cluster/quarantine/evidence.go
+++ b/internal/cluster/quarantine/evidence.go
@@ -102,7 +102,7 @@
 	return r
 }
 
-// addAnswers records answers, also before the crash that they are reported for is known here.
+// addAnswers records answers, also before the report of the crash that they are reported for.
 func (e *Evidence) addAnswers(at clock.Time, a Answered) {
 	r := e.record(a.Part)
 	if r == nil {
--- a/internal/cluster/quarantine/memory.go
+++ b/internal/cluster/quarantine/memory.go
@@ -27,7 +27,7 @@
 	changeGrace = 4 * time.Second
 )
 
-// Memory is what one instance knows: the answers that began here lately, and the suspects as the voters
+// Memory is the record of one instance: the answers that began here lately, and the suspects as the voters
 // determined them. Use NewMemory. It is not safe for concurrent use.
 type Memory struct {
 	instance ident.InstanceID
--- a/internal/cluster/quarantine/quarantine.go
+++ b/internal/cluster/quarantine/quarantine.go
@@ -7,7 +7,7 @@
 // voters add it up.
 //
 // A crash is evidence against every shared part of the requests that were at the engine and had no
-// event of an answer yet, because the crash alone does not tell which one caused it. It is stronger
+// event of an answer yet, because the crash alone does not show which one caused it. It is stronger
 // evidence if the head of the answer had come. An answer that begins is evidence for all of its parts
 // and counts as much as the strongest crash. The part before the deadly one, which sound requests
 // share, is thereby cleared, and so are the parts of requests that happened to be at the same engine.
--- a/internal/cluster/stream/stream.go
+++ b/internal/cluster/stream/stream.go
@@ -3,9 +3,9 @@
 // What two software versions write does not fit together, and engines do not check it. A stream that
 // has broken off may therefore go on only at a target of the version that began it. Its caller may
 // take it up at any instance, by the id of the request that brought its first event; the instance
-// that began it may be gone by then, together with all others like it.
+// that began it may have ended by then, together with all others like it.
 //
-// Each instance remembers the streams that it began, and tells the voters, which remember all. A record is kept as
+// Each instance remembers the streams that it began, and publishes them to the voters, which remember all. A record is kept as
 // long as the stream can be taken up. If nobody has one, the stream may go on only where a single
 // version can have begun it; otherwise it is refused, because a wrong guess joins two versions
 // without a trace.
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -9,31 +9,31 @@
 	"github.com/hickoryridge/hickoryridge/internal/cluster/stream"
 )
 
-// Tell tells a voter facts. It has no reply.
-type Tell struct {
+// Publish reports facts to a voter. It has no reply.
+type Publish struct {
 	Instance ident.InstanceID `msgpack:"instance"`
 	Boot     ident.BootID     `msgpack:"boot"`
 	Sequence fact.Sequence    `msgpack:"sequence"`
 	Batch    fact.Batch       `msgpack:"batch"`
 }
 
-// Learn requests from a voter what follows from the facts. The voter delays the reply, for a bounded time, until
+// Watch requests from a voter what follows from the facts. The voter delays the reply, for a bounded time, until
 // that differs from what the sender has.
-type Learn struct {
+type Watch struct {
 	Instance ident.InstanceID `msgpack:"instance"`
 	Boot     ident.BootID     `msgpack:"boot"`
-	Told     fact.Sequence    `msgpack:"told"` // last batch that was told to this voter
+	Last     fact.Sequence    `msgpack:"last"` // last batch that was published to this voter
 	Seen     fact.Mark        `msgpack:"seen"`
 }
 
-// Learned is the reply to a Learn.
-type Learned struct {
+// Watched is the reply to a Watch.
+type Watched struct {
 	Missing  bool                 `msgpack:"missing"` // the last batch has not arrived
 	Mark     fact.Mark            `msgpack:"mark"`
 	Suspects []quarantine.Suspect `msgpack:"suspects"`
 }
 
-// Relay requests from a voter what it has been told since a cursor. The reply is delayed, for a bounded
+// Relay requests from a voter what instances have published to it since a cursor. The reply is delayed, for a bounded
 // time, until there is something.
 type Relay struct {
 	Since fact.Cursor `msgpack:"since"`
@@ -45,16 +45,16 @@
 	Next  fact.Cursor `msgpack:"next"`
 }
 
-// Recall requests from a voter what began a stream.
-type Recall struct {
+// FindStream requests from a voter what began a stream.
+type FindStream struct {
 	Stream  stream.Key      `msgpack:"stream"`
 	Service ident.ServiceID `msgpack:"service"` // that the stream belongs to, if it is not known
 	// Within is the time within which the stream began.
 	Within time.Duration `msgpack:"within"`
 }
 
-// Recalled is the reply to a Recall.
-type Recalled struct {
+// StreamFound is the reply to a FindStream.
+type StreamFound struct {
 	Known  bool          `msgpack:"known"`
 	Origin stream.Origin `msgpack:"origin"` // if Known or Sole
 	// Sole means that the stream is not known, but that the service has had targets of one software
@@ -63,10 +63,10 @@
 	Several bool `msgpack:"several"`
 }
 
-func (*Tell) kind() kind     { return kindTell }
-func (*Learn) kind() kind    { return kindLearn }
-func (*Learned) kind() kind  { return kindLearned }
-func (*Relay) kind() kind    { return kindRelay }
-func (*Relayed) kind() kind  { return kindRelayed }
-func (*Recall) kind() kind   { return kindRecall }
-func (*Recalled) kind() kind { return kindRecalled }
+func (*Publish) kind() kind     { return kindPublish }
+func (*Watch) kind() kind       { return kindWatch }
+func (*Watched) kind() kind     { return kindWatched }
+func (*Relay) kind() kind       { return kindRelay }
+func (*Relayed) kind() kind     { return kindRelayed }
+func (*FindStream) kind() kind  { return kindFindStream }
+func (*StreamFound) kind() kind { return kindStreamFound }
--- a/peer/message.go
+++ b/peer/message.go
@@ -50,13 +50,13 @@
 	kindWorks
 	kindAcquire
 	kindAcquired
-	kindTell
-	kindLearn
-	kindLearned
+	kindPublish
+	kindWatch
+	kindWatched
 	kindRelay
 	kindRelayed
-	kindRecall
-	kindRecalled
+	kindFindStream
+	kindStreamFound
 	kindCount // number of kinds, including the unused 0
 )
 
@@ -339,20 +339,20 @@
 		return &Acquire{}
 	case kindAcquired:
 		return &Acquired{}
-	case kindTell:
-		return &Tell{}
-	case kindLearn:
-		return &Learn{}
-	case kindLearned:
-		return &Learned{}
+	case kindPublish:
+		return &Publish{}
+	case kindWatch:
+		return &Watch{}
+	case kindWatched:
+		return &Watched{}
 	case kindRelay:
 		return &Relay{}
 	case kindRelayed:
 		return &Relayed{}
-	case kindRecall:
-		return &Recall{}
-	case kindRecalled:
-		return &Recalled{}
+	case kindFindStream:
+		return &FindStream{}
+	case kindStreamFound:
+		return &StreamFound{}
 	default:
 		return nil
 	}
