--- a/dispatch/backend.go
+++ b/dispatch/backend.go
@@ -28,9 +28,9 @@
 	Body        []byte
 	Parts       []router.Part // prompt parts; none for a plain service
 	LastEventID string        // id of the last event that the caller has received
-	// Resumes is the id of the request that brought the first event of the stream that the caller takes
+	// BegunBy is the id of the request that brought the first event of the stream that the caller takes
 	// up; empty if it takes up none.
-	Resumes string
+	BegunBy string
 }
 
 // Call is one attempt at sending a forwarded request to a target.
--- a/dispatch/facts_test.go
+++ b/dispatch/facts_test.go
@@ -167,7 +167,7 @@
 				d.cfg.Facts.streamBegun(clock.Now(), stream.Begun{Origin: v1, Left: time.Minute, Keys: []stream.Key{stream.KeyOf("begun")}})
 			}
 			f := newPrompt("sound")
-			f.Resumes, f.LastEventID = "begun", "2"
+			f.BegunBy, f.LastEventID = "begun", "2"
 			err := d.Forward(t.Context(), f, &recordingSink{})
 			if len(b.calls) != test.calls || test.calls > 0 && (err != nil || b.calls[0].Target != "t1") {
 				t.Fatalf("calls %+v, error %v", b.calls, err)
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -35,8 +35,8 @@
 		return
 	}
 	b := stream.Begun{Origin: stream.Origin{Service: r.req.Service, Software: a.Software}, Left: r.streamRetention(), Keys: []stream.Key{stream.KeyOf(r.req.ID)}}
-	if r.req.Resumes != "" && r.req.Resumes != r.req.ID {
-		b.Keys = append(b.Keys, stream.KeyOf(r.req.Resumes)) // may be taken up once more
+	if r.req.BegunBy != "" && r.req.BegunBy != r.req.ID {
+		b.Keys = append(b.Keys, stream.KeyOf(r.req.BegunBy)) // may be taken up once more
 	}
 	r.d.cfg.Facts.streamBegun(clock.Now(), b)
 }
@@ -59,7 +59,7 @@
 // returns a fault.StreamUnknown error if that is not known.
 func (r *forwardRun) takeUp(ctx context.Context) error {
 	f := r.req
-	if !f.Rule.Stream || f.Resumes == "" && f.LastEventID == "" || r.d.cfg.Facts == nil {
+	if !f.Rule.Stream || f.BegunBy == "" && f.LastEventID == "" || r.d.cfg.Facts == nil {
 		return nil
 	}
 	origin, from, err := r.findOrigin(ctx)
@@ -68,7 +68,7 @@
 		err = fault.New(fault.StreamUnknown, "the stream belongs to service %q, which the rule does not name", origin.Service)
 	}
 	r.d.cfg.Log.WithFields(logrus.Fields{
-		"event": "stream_taken_up", "request": f.ID, "resumes": f.Resumes, "after": f.LastEventID, "service": origin.Service, "software": origin.Software, "record": from, "cause": err,
+		"event": "stream_taken_up", "request": f.ID, "begunby": f.BegunBy, "after": f.LastEventID, "service": origin.Service, "software": origin.Software, "record": from, "cause": err,
 	}).Info("a caller takes up a stream")
 	if err != nil {
 		r.d.cfg.Metrics.Count("streams_unknown")
@@ -83,8 +83,8 @@
 // findOrigin returns what began the stream that the caller takes up, and where the record was.
 func (r *forwardRun) findOrigin(ctx context.Context) (origin stream.Origin, from string, err error) {
 	f := r.req
-	key := stream.KeyOf(f.Resumes)
-	if origin, ok := r.d.cfg.Facts.origin(clock.Now(), key); ok && f.Resumes != "" {
+	key := stream.KeyOf(f.BegunBy)
+	if origin, ok := r.d.cfg.Facts.origin(clock.Now(), key); ok && f.BegunBy != "" {
 		return origin, "this instance", nil
 	}
 	if r.d.cfg.Origins == nil {
