--- a/instance/streams.go
+++ b/instance/streams.go
@@ -41,7 +41,7 @@
 func (c *factClient) findAtAll(ctx context.Context, request *peer.FindStream) (stream.Origin, bool, error) {
 	type result struct {
 		found *peer.StreamFound
-		err      error
+		err   error
 	}
 	voters := c.in.roster.Voters()
 	results := make(chan result, len(voters))
