quarantine: parts whose crashes are explained stay suspects, so that answers on them are reported

While the deadly part explained its crashes, the shared one was not listed, so nobody reported the answers on it; one more crash with it, that of an innocent, made it the worst. It stays listed now. TestExplainedPartStaysSuspect fails without the change.

--- a/internal/cluster/quarantine/evidence.go
+++ b/internal/cluster/quarantine/evidence.go
@@ -140,14 +140,13 @@
 	answers int // answers that began
 }
 
-// Suspects returns the parts with more evidence against than for them, the most suspect first, and at
-// most maxSuspects.
+// Suspects returns the parts with more evidence against than for them: those to quarantine, and at most
+// maxSuspects others. The latter include parts whose crashes are explained, so that the answers on them
+// are reported before another crash.
 func (e *Evidence) Suspects(now clock.Time) []Suspect {
 	e.Expire(now)
-	var open []candidate
-	for part, r := range e.parts {
-		open = append(open, candidate{part: part, record: r, answers: r.answerCount()})
-	}
+	all := e.candidates()
+	open := slices.Clone(all)
 	explained := map[Crash]bool{} // by parts that are quarantined
 	var suspects []Suspect
 	for {
@@ -165,12 +164,30 @@
 		}
 		open = open[1:]
 	}
-	for _, c := range open[:min(len(open), max(0, maxSuspects-len(suspects)))] {
-		suspects = append(suspects, c.suspect(now))
+	quarantined := len(suspects)
+	for _, c := range all {
+		if c.net() <= 0 || len(suspects) >= quarantined+maxSuspects {
+			break
+		}
+		if !slices.ContainsFunc(suspects[:quarantined], func(s Suspect) bool { return s.Part == c.part }) {
+			s := c.suspect(now)
+			s.Quarantined = false
+			suspects = append(suspects, s)
+		}
 	}
 	return suspects
 }
 
+// candidates returns all parts, those with the most evidence against them first.
+func (e *Evidence) candidates() []candidate {
+	var all []candidate
+	for part, r := range e.parts {
+		all = append(all, candidate{part: part, record: r, score: r.score(nil), answers: r.answerCount()})
+	}
+	slices.SortFunc(all, func(a, b candidate) int { return compareCandidates(b, a) })
+	return all
+}
+
 func (r *record) answerCount() int {
 	n := 0
 	for _, a := range r.answers {
--- a/internal/cluster/quarantine/quarantine_test.go
+++ b/internal/cluster/quarantine/quarantine_test.go
@@ -122,6 +122,23 @@
 	return ids
 }
 
+// TestExplainedPartStaysSuspect guards against a shared part whose answers are not reported while the part
+// behind it explains its crashes. One more crash would put it in quarantine in place of the deadly one.
+func TestExplainedPartStaysSuspect(t *testing.T) {
+	e := NewEvidence()
+	e.Add(start, crashOf("t1", true, "shared", "dead"))
+	e.Add(start.Add(400*time.Millisecond), crashOf("t2", true, "shared", "dead"))
+	suspects := e.Suspects(start.Add(time.Second))
+	if !slices.Equal(quarantinedIDs(suspects), []string{"dead"}) || !slices.ContainsFunc(suspects, func(s Suspect) bool { return s.Part == part("shared") }) {
+		t.Fatalf("suspects %+v, want the deadly part in quarantine and the shared one listed", suspects)
+	}
+	e.Add(start.Add(time.Second), answersOn("i", 1, "shared"))
+	e.Add(start.Add(2*time.Second), crashOf("t3", false, "shared"))
+	if got := quarantinedIDs(e.Suspects(start.Add(3 * time.Second))); !slices.Equal(got, []string{"dead"}) {
+		t.Errorf("in quarantine after one more crash with the shared part: %v, want the deadly part", got)
+	}
+}
+
 // TestEvidenceIsBounded guards against memory that grows with the parts of crashed prompts.
 func TestEvidenceIsBounded(t *testing.T) {
 	e := NewEvidence()
