--- a/internal/cluster/fact/model_test.go
+++ b/internal/cluster/fact/model_test.go
@@ -17,6 +17,8 @@
 	contact = 4 * time.Second
 	// pollPause stands for the time from a change to the reply to a poll that waits for it.
 	pollPause = 25 * time.Millisecond
+	// pollTime is the longest time for which a voter delays the reply to a poll.
+	pollTime = 1 * time.Second
 	// pollTimeout is the time after which an instance turns to another voter.
 	pollTimeout = 1500 * time.Millisecond
 	deadlyParts = 2
@@ -53,6 +55,9 @@
 	outbox Outbox
 	memory *quarantine.Memory
 	voter  *modelVoter
+
+	seen    Mark       // of the last reply
+	replied clock.Time // time of the last reply
 }
 
 func newModel(seed uint64, instances, voters int) *model {
@@ -135,23 +140,31 @@
 
 // poll asks an instance's voter for the suspects, again and again.
 func (m *model) poll(in *modelInstance) {
-	v, told := in.voter, in.outbox.Last()
+	v, last := in.voter, in.outbox.Last()
+	m.After(m.latency(), func() { m.reply(in, v, last) })
+}
+
+// reply replies to a poll once there is something new, or after pollTime.
+func (m *model) reply(in *modelInstance, v *modelVoter, last Sequence) {
+	if v.stopped {
+		m.After(pollTimeout, func() { m.choose(in); m.poll(in) })
+		return
+	}
+	suspects, mark := v.collector.Suspects()
+	if mark == in.seen && m.Now.Sub(in.replied) < pollTime {
+		m.After(pollPause, func() { m.reply(in, v, last) })
+		return
+	}
+	in.seen, in.replied = mark, m.Now
+	missing := v.collector.Missing(in.id, "boot", last)
 	m.After(m.latency(), func() {
-		if v.stopped {
-			m.After(pollTimeout, func() { m.choose(in); m.poll(in) })
-			return
+		if missing {
+			in.outbox.Repeat(m.Now)
 		}
-		suspects, mark := v.collector.Suspects()
-		missing := v.collector.Missing(in.id, "boot", told)
-		m.After(m.latency(), func() {
-			if missing {
-				in.outbox.Repeat(m.Now)
-			}
-			_, due := in.memory.Apply(m.Now, mark.Run, suspects)
-			m.add(in, due)
-			m.publish(in)
-			m.After(pollPause, func() { m.poll(in) })
-		})
+		_, due := in.memory.Apply(m.Now, mark.Run, suspects)
+		m.add(in, due)
+		m.publish(in)
+		m.poll(in)
 	})
 }
 
