facts: a voter that starts receives all facts of the others, not only what they were told first-hand

A voter read from the others only what instances had published to them; what had been published to the voter itself before it ended was left in what they had merged. A cursor of another run now gets everything.

--- a/internal/cluster/fact/collector.go
+++ b/internal/cluster/fact/collector.go
@@ -85,8 +85,15 @@
 	Streams  feed.Cursor `msgpack:"streams"`
 }
 
-// Since returns what instances have published to this voter since a cursor, and the cursor after it.
+// Since returns what instances have published to this voter since a cursor, and the cursor after it. For a
+// cursor of another run it returns all facts that this voter has: what instances published to a voter that has
+// ended since then is left only at the others.
 func (c *Collector) Since(now clock.Time, since Cursor) (Batch, Cursor) {
+	if since.Evidence.Run != c.mark.Run {
+		_, nextEvidence := c.evidenceLog.Since(since.Evidence)
+		_, nextStreams := c.streamLog.Since(since.Streams)
+		return Batch{Evidence: c.evidence.All(now), Streams: c.streams.All(now)}, Cursor{nextEvidence, nextStreams}
+	}
 	evidence, nextEvidence := c.evidenceLog.Since(since.Evidence)
 	streams, nextStreams := c.streamLog.Since(since.Streams)
 	b := join(now, evidence)
--- a/internal/cluster/quarantine/evidence.go
+++ b/internal/cluster/quarantine/evidence.go
@@ -115,6 +115,24 @@
 // Len returns the number of parts with evidence.
 func (e *Evidence) Len() int { return len(e.parts) }
 
+// All returns all evidence as one report, for a voter that has started.
+func (e *Evidence) All(now clock.Time) Report {
+	e.Expire(now)
+	var all Report
+	for part, r := range e.parts {
+		for id, c := range r.crashes {
+			all.Crashed = append(all.Crashed, Crashed{Part: part, Crash: id, Head: c.weight == headWeight, Depth: r.depth, Age: now.Sub(c.at)})
+		}
+		for id, a := range r.answers {
+			all.Answered = append(all.Answered, Answered{Part: part, Instance: id, Count: a.count, Age: now.Sub(a.at)})
+		}
+	}
+	for p, at := range e.released {
+		all.Released = append(all.Released, Released{Service: p.service, ID: p.id, Age: now.Sub(at)})
+	}
+	return all
+}
+
 // Expire removes evidence that no longer counts.
 func (e *Evidence) Expire(now clock.Time) {
 	for part, r := range e.parts {
--- a/internal/cluster/stream/stream.go
+++ b/internal/cluster/stream/stream.go
@@ -126,6 +126,23 @@
 	return m.origins[r.origin], true
 }
 
+// All returns all records, for a voter that has started. Streams that began at one origin may be taken up
+// for as long as the last of them.
+func (m *Memory) All(now clock.Time) []Begun {
+	all := make([]Begun, len(m.origins))
+	for i, o := range m.origins {
+		all[i].Origin = o
+	}
+	for k, r := range m.records {
+		if left := r.expires.Sub(now); left > 0 {
+			b := &all[r.origin]
+			b.Left = max(b.Left, left)
+			b.Keys = append(b.Keys, k)
+		}
+	}
+	return slices.DeleteFunc(all, func(b Begun) bool { return len(b.Keys) == 0 })
+}
+
 // Covers reports whether the memory has been kept for the given time, so that a stream which began since then
 // would be known.
 func (m *Memory) Covers(now clock.Time, d time.Duration) bool { return now.Sub(m.started) >= d }
