--- a/cmd/hickoryctl/commands.go
+++ b/cmd/hickoryctl/commands.go
@@ -156,8 +156,7 @@
 		return c.printJSON(list)
 	}
 	w := newTable(c.out)
-	row := w.row
-	row("target", "service", "address", "region", "domain", "role", "usable", "limit")
+	w.row("target", "service", "address", "region", "domain", "role", "usable", "limit")
 	for _, t := range list {
 		role, usable, limit := "", "no", ""
 		if t.Engine != nil {
@@ -169,7 +168,7 @@
 		if t.RateLimit != nil {
 			limit = strconv.FormatFloat(float64(*t.RateLimit), 'g', -1, 64) + "/s"
 		}
-		row(string(t.Announcement.Target), string(t.Service), t.Address, string(t.Region), string(t.Domain), role, usable, limit)
+		w.row(string(t.Announcement.Target), string(t.Service), t.Address, string(t.Region), string(t.Domain), role, usable, limit)
 	}
 	if err := w.Flush(); err != nil {
 		return cli.ExitFailed
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -48,6 +48,7 @@
 
 	promptTokens   ident.Tokens
 	blocks         []uint64
+	sharedParts    []string // ids of the prompt's parts that other requests may have too
 	admitted       admit.Request
 	preplaced      *Assignment // first attempt, assigned before admission; nil if there is none
 	admittedAt     clock.Time  // time of admission
@@ -82,6 +83,7 @@
 	r := &forwardRun{d: d, req: f, sink: sink, lastEventID: f.LastEventID, hasEngines: len(f.Parts) > 0, promptTokens: router.PartTokens(f.Parts)}
 	if r.hasEngines {
 		r.blocks = router.PartBlockHashes(nil, f.Parts)
+		r.sharedParts = sharedParts(f.Parts)
 	}
 	if err := r.takeUp(ctx); err != nil {
 		return r.fail(ctx, err)
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -23,7 +23,7 @@
 	if !r.hasEngines || r.d.cfg.Facts == nil {
 		return nil
 	}
-	return r.d.cfg.Facts.check(clock.Now(), r.req.Service, sharedParts(r.req.Parts))
+	return r.d.cfg.Facts.check(clock.Now(), r.req.Service, r.sharedParts)
 }
 
 // recordBegun records that the first event of an answer has come.
@@ -44,19 +44,18 @@
 	if r.d.cfg.Backend.Reachable(ctx, a.Address) {
 		return
 	}
-	parts := r.partsAt(a)
-	r.d.cfg.Facts.crashed(clock.Now(), parts, quarantine.Crash{Target: a.Choice.ID, Incarnation: a.incarnation}, head)
+	r.d.cfg.Facts.crashed(clock.Now(), r.partsAt(a), quarantine.Crash{Target: a.Choice.ID, Incarnation: a.incarnation}, head)
 	r.d.cfg.Metrics.Count("engine_crashes_seen")
 	r.d.cfg.Log.WithFields(logrus.Fields{
 		"event": "engine_crashed", "request": r.req.ID, "service": r.req.Service, "target": a.Choice.ID, "incarnation": a.incarnation, "software": a.Software,
-		"parts": sharedParts(r.req.Parts), "head": head,
+		"parts": r.sharedParts, "head": head,
 	}).Info("an engine crashed before it sent an event of an answer")
 }
 
 // partsAt returns the shared parts of the prompt at the software version of a target.
 func (r *forwardRun) partsAt(a *Assignment) []quarantine.Part {
 	var parts []quarantine.Part
-	for _, id := range sharedParts(r.req.Parts) {
+	for _, id := range r.sharedParts {
 		parts = append(parts, quarantine.Part{Service: r.req.Service, Software: a.Software, ID: id})
 	}
 	return parts
@@ -73,7 +72,7 @@
 	}
 	r.d.cfg.Log.WithFields(logrus.Fields{
 		"event": "answer_broken", "request": r.req.ID, "service": r.req.Service, "target": a.Choice.ID, "incarnation": a.incarnation,
-		"parts": sharedParts(r.req.Parts), "head": head, "begun": a.gotFirstToken, "after": r.lastEventID, "ms": clock.Now().Sub(a.sentAt).Milliseconds(), "cause": cause,
+		"parts": r.sharedParts, "head": head, "begun": a.gotFirstToken, "after": r.lastEventID, "ms": clock.Now().Sub(a.sentAt).Milliseconds(), "cause": cause,
 	}).Info("an engine's answer broke off")
 }
 
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -298,6 +298,9 @@
 		in.metrics.Gauge("waiting", float64(waiting))
 		in.metrics.Gauge("view", float64(in.gate.Version()))
 		in.metrics.Gauge("limited_targets", float64(len(in.targetPool.Limits())))
+		if in.factClient != nil {
+			in.metrics.Gauge("quarantined_parts", float64(len(in.factClient.facts.Quarantined(clock.Now()))))
+		}
 		in.metrics.Gauge("receipts_pending", float64(in.receipts.Pending()))
 		in.metrics.Gauge("target_connections_opened", float64(in.targetClient.Opened()))
 		for message, bytes := range in.network.SentBytes() {
--- a/instance/facthub.go
+++ b/instance/facthub.go
@@ -208,7 +208,7 @@
 func (in *Instance) readFactsOnce(ctx context.Context, from ident.InstanceID, since fact.Cursor) (fact.Cursor, error) {
 	ctx, cancel := context.WithTimeout(ctx, factPollTimeout)
 	defer cancel()
-	relayed, err := callAs[*peer.Relayed](ctx, in.network.Call, from, &peer.Relay{Since: since})
+	relayed, err := replyAs[*peer.Relayed](in.network.Call(ctx, from, &peer.Relay{Since: since}))
 	if err != nil {
 		return since, err
 	}
--- a/instance/facts.go
+++ b/instance/facts.go
@@ -83,17 +83,31 @@
 			continue // published once a voter is found
 		}
 		if b, s := c.facts.Take(clock.Now()); !b.Empty() {
-			c.send(to, &peer.Publish{Instance: c.in.settings.Instance, Boot: c.in.boot, Sequence: s, Batch: b})
+			c.send(ctx, to, &peer.Publish{Instance: c.in.settings.Instance, Boot: c.in.boot, Sequence: s, Batch: b})
 		}
 	}
 }
 
-func (c *factClient) send(to ident.InstanceID, t *peer.Publish) {
-	if to == c.in.settings.Instance {
-		c.in.factHub.publish(t)
+// send sends a message without a reply to a voter, which may be this instance.
+func (c *factClient) send(ctx context.Context, to ident.InstanceID, b peer.Body) {
+	if to != c.in.settings.Instance {
+		c.in.network.Send(to, b)
 		return
 	}
-	c.in.network.Send(to, t)
+	// It fails only where there is no hub, and this instance is a voter.
+	_, _ = c.in.handleFacts(ctx, b)
+}
+
+// call calls a voter, which may be this instance.
+func (c *factClient) call(ctx context.Context, to ident.InstanceID, b peer.Body) (peer.Body, error) {
+	switch to {
+	case "":
+		return nil, fault.New(fault.NoQuorum, "no voter has been found yet")
+	case c.in.settings.Instance:
+		return c.in.handleFacts(ctx, b)
+	default:
+		return c.in.network.Call(ctx, to, b)
+	}
 }
 
 // watch is the background task that reads what follows from the facts of all instances.
@@ -121,16 +135,10 @@
 }
 
 func (c *factClient) poll(ctx context.Context, to ident.InstanceID, seen fact.Mark) (*peer.Watched, error) {
-	if to == "" {
-		return nil, fault.New(fault.NoQuorum, "no voter has been found yet")
-	}
 	ctx, cancel := context.WithTimeout(ctx, factPollTimeout)
 	defer cancel()
 	request := &peer.Watch{Instance: c.in.settings.Instance, Boot: c.in.boot, Last: c.facts.Last(), Seen: seen}
-	if to == c.in.settings.Instance {
-		return c.in.factHub.watch(ctx, request), nil
-	}
-	return callAs[*peer.Watched](ctx, c.in.network.Call, to, request)
+	return replyAs[*peer.Watched](c.call(ctx, to, request))
 }
 
 func (c *factClient) apply(l *peer.Watched) {
@@ -141,7 +149,6 @@
 	for _, change := range c.facts.Apply(now, l.Mark.Run, l.Suspects) {
 		c.in.logQuarantine(change)
 	}
-	c.in.metrics.Gauge("quarantined_parts", float64(len(c.facts.Quarantined(now))))
 }
 
 func (in *Instance) logQuarantine(c quarantine.Change) {
@@ -154,17 +161,3 @@
 		"event": event, "service": s.Part.Service, "software": s.Part.Software, "part": s.Part.ID, "crashes": s.Crashes, "answers": s.Answers, "until": s.Until.AsDuration().Milliseconds(),
 	}).Warn(text)
 }
-
-// callAs calls an instance and returns its reply as the given type.
-func callAs[T peer.Body](ctx context.Context, call func(context.Context, ident.InstanceID, peer.Body) (peer.Body, error), to ident.InstanceID, b peer.Body) (T, error) {
-	var zero T
-	reply, err := call(ctx, to, b)
-	if err != nil {
-		return zero, err
-	}
-	typed, ok := reply.(T)
-	if !ok {
-		return zero, fault.New(fault.Internal, "unexpected reply of type %T from %s", reply, to)
-	}
-	return typed, nil
-}
--- a/instance/leaderclient.go
+++ b/instance/leaderclient.go
@@ -148,14 +148,18 @@
 }
 
 func requestAs[T peer.Body](ctx context.Context, c *leaderClient, b peer.Body) (T, error) {
+	return replyAs[T](c.request(ctx, b))
+}
+
+// replyAs returns the reply of a call as the given type, or the error of the call.
+func replyAs[T peer.Body](reply peer.Body, err error) (T, error) {
 	var zero T
-	reply, err := c.request(ctx, b)
 	if err != nil {
 		return zero, err
 	}
 	typed, ok := reply.(T)
 	if !ok {
-		return zero, fault.New(fault.Internal, "unexpected reply of type %T to a request for the leader", reply)
+		return zero, fault.New(fault.Internal, "unexpected reply of type %T, want %T", reply, zero)
 	}
 	return typed, nil
 }
--- a/instance/placing.go
+++ b/instance/placing.go
@@ -93,15 +93,7 @@
 func (p *placerClient) requestFrom(ctx context.Context, to ident.InstanceID, req *peer.Place) (*peer.Placed, error) {
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
-	reply, err := p.net.Call(ctx, to, req)
-	if err != nil {
-		return nil, err
-	}
-	placed, ok := reply.(*peer.Placed)
-	if !ok {
-		return nil, fault.New(fault.Internal, "unexpected reply of type %T to a placement request", reply)
-	}
-	return placed, nil
+	return replyAs[*peer.Placed](p.net.Call(ctx, to, req))
 }
 
 func (p *placerClient) recordReply(by ident.InstanceID) {
--- a/instance/streams.go
+++ b/instance/streams.go
@@ -80,13 +80,7 @@
 }
 
 func (c *factClient) findAt(ctx context.Context, voter ident.InstanceID, request *peer.FindStream) (*peer.StreamFound, error) {
-	if voter == "" {
-		return nil, fault.New(fault.NoQuorum, "no voter has been found yet")
-	}
-	if voter == c.in.settings.Instance {
-		return c.in.factHub.findStream(request, c.in.targetPool.SoftwareVersions), nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	return callAs[*peer.StreamFound](ctx, c.in.network.Call, voter, request)
+	return replyAs[*peer.StreamFound](c.call(ctx, voter, request))
 }
--- a/internal/cluster/fact/collector.go
+++ b/internal/cluster/fact/collector.go
@@ -10,7 +10,8 @@
 	"github.com/hickoryridge/hickoryridge/internal/cluster/stream"
 )
 
-// maxLogged is the number of batches that are kept for voters that start.
+// maxLogged is the number of batches of a kind that are kept for voters which read late. One that starts
+// reads all facts.
 const maxLogged = 8192
 
 // deriveInterval is the interval at which suspects are determined without new facts, since they also
--- a/internal/cluster/fact/outbox.go
+++ b/internal/cluster/fact/outbox.go
@@ -34,9 +34,6 @@
 	}
 }
 
-// Pending reports whether there are facts to publish.
-func (o *Outbox) Pending() bool { return len(o.pending) > 0 }
-
 // Last returns the sequence of the last batch that was taken.
 func (o *Outbox) Last() Sequence { return o.last }
 
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -33,8 +33,8 @@
 	Suspects []quarantine.Suspect `msgpack:"suspects"`
 }
 
-// Relay requests from a voter what instances have published to it since a cursor. The reply is delayed, for a bounded
-// time, until there is something.
+// Relay requests from a voter what instances have published to it since a cursor, or all facts that it has
+// for a cursor of another run. The reply is delayed, for a bounded time, until there is something.
 type Relay struct {
 	Since fact.Cursor `msgpack:"since"`
 }
