fact: streams do not displace evidence among what an instance publishes again

An instance kept its newest 1,024 batches for another voter. At 30 streams a second that is 34 s, while evidence counts for two minutes: a quarantine could be lost with a voter although the instance that had seen the crashes was still there. The collector kept the two apart, the outbox did not. Batches whose facts no longer matter are removed first now, and not at every batch, which copied all of them. TestStreamsLeaveEvidence: none of one crash was left before.

--- a/internal/cluster/fact/outbox.go
+++ b/internal/cluster/fact/outbox.go
@@ -1,6 +1,7 @@
 package fact
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/internal/clock"
@@ -9,7 +10,8 @@
 const (
 	// retention is the time for which published facts are kept to be published again.
 	retention = 2 * time.Minute
-	// maxKept bounds the batches that are kept.
+	// maxKept bounds the published batches that are kept, after those that no longer matter have been
+	// removed. They are removed once there are twice as many.
 	maxKept = 1024
 )
 
@@ -46,7 +48,9 @@
 	b := join(now, o.pending)
 	o.published = append(o.published, o.pending...)
 	o.pending = nil
-	o.drop(now)
+	if len(o.published) > 2*maxKept {
+		o.drop(now)
+	}
 	return b, o.last
 }
 
@@ -57,13 +61,13 @@
 	o.published = nil
 }
 
-// drop removes published facts that no longer matter.
+// drop removes published facts that no longer matter, and the oldest of those that are too many.
 func (o *Outbox) drop(now clock.Time) {
-	first := max(0, len(o.published)-maxKept)
-	for first < len(o.published) && now.Sub(o.published[first].at) > retention {
-		first++
-	}
-	o.published = append([]stamped(nil), o.published[first:]...)
+	o.published = slices.DeleteFunc(o.published, func(s stamped) bool {
+		age := now.Sub(s.at)
+		return age > retention || s.batch.aged(age).Empty()
+	})
+	o.published = slices.Delete(o.published, 0, max(0, len(o.published)-maxKept))
 }
 
 // join returns the facts of several batches with their ages as of now.
