tests: a port that a test has chosen is held by a file lock until the test ends

Cause: freeport closes a port before its user listens, and processes of two packages that run at once choose from the same range.

Change: a chosen port is held by a lock on a file, which the system releases when the process ends, until the test that chose it ends, so also between two runs of its user. e2e and instance had choosers of their own with the same fault; they use freeport now.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -6,12 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -22,6 +20,7 @@
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/instance"
 	"github.com/hickoryridge/hickoryridge/internal/demo"
+	"github.com/hickoryridge/hickoryridge/internal/net/freeport"
 	"github.com/hickoryridge/hickoryridge/internal/standin"
 	"github.com/hickoryridge/hickoryridge/operator"
 	"github.com/hickoryridge/hickoryridge/settings"
@@ -76,33 +75,6 @@
 
 var regions = []string{"north", "south", "tobago"}
 
-// The ports of instances lie below the system's ephemeral port range, so that no outgoing
-// connection takes a port between its selection and the instance's listen call.
-const (
-	firstPort = 12000
-	portCount = 18000
-)
-
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(int64(os.Getpid()) * 101 % portCount) }
-
-// freePorts returns n loopback addresses that nothing listens on.
-func freePorts(t testing.TB, n int) []string {
-	t.Helper()
-	var addrs []string
-	for len(addrs) < n {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		addrs = append(addrs, addr)
-	}
-	return addrs
-}
-
 // newCluster starts n instances, of which the first voters vote in the quorum. If relayed is set,
 // the connections between instances pass through relays, so that a test can partition instances.
 func newCluster(t testing.TB, n, voters int, relayed bool) *cluster {
@@ -115,13 +87,12 @@
 func newClusterWith(t testing.TB, n, voters int, relayed bool, change func(*settings.Settings)) *cluster {
 	t.Helper()
 	c := &cluster{t: t, scheme: "http://", folder: t.TempDir(), relays: map[[2]int]*relay{}}
-	ports := freePorts(t, 3*n)
 	for i := range n {
 		c.nodes = append(c.nodes, &node{id: ident.InstanceID(fmt.Sprint("i", i+1))})
 		nd := c.nodes[i]
 		nd.settings = settings.Settings{
 			Instance: nd.id, Region: ident.RegionID(regions[i%3]), Domain: ident.DomainID(regions[i%3] + "-a"),
-			Callers: ports[3*i], Control: ports[3*i+1], Peer: ports[3*i+2],
+			Callers: freeport.Address(t), Control: freeport.Address(t), Peer: freeport.Address(t),
 			Log: settings.Log{Level: "debug"}, Routing: settings.Routing{Permits: true, Facts: true},
 		}
 		if i < voters {
--- a/instance/voter_test.go
+++ b/instance/voter_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"path/filepath"
 	"testing"
 	"testing/synctest"
@@ -16,6 +15,7 @@
 	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/examples"
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/net/freeport"
 	"github.com/hickoryridge/hickoryridge/quorum"
 	"github.com/hickoryridge/hickoryridge/settings"
 	"github.com/hickoryridge/hickoryridge/state"
@@ -32,7 +32,7 @@
 	t.Helper()
 	var peers []settings.Peer
 	for i := range 3 {
-		peers = append(peers, settings.Peer{Instance: ident.InstanceID(fmt.Sprint("i", i)), Address: freeAddress(t), Voter: true})
+		peers = append(peers, settings.Peer{Instance: ident.InstanceID(fmt.Sprint("i", i)), Address: freeport.Address(t), Voter: true})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &cluster{t: t, ended: make(chan error, len(peers))}
@@ -70,16 +70,6 @@
 	return logger
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // waitFor waits until f returns true and fails the test after 30 seconds.
 func (c *cluster) waitFor(what string, f func() bool) {
 	c.t.Helper()
--- a/internal/net/freeport/freeport.go
+++ b/internal/net/freeport/freeport.go
@@ -1,36 +1,86 @@
-// Package freeport finds free loopback addresses for processes that tests start.
+// Package freeport chooses loopback addresses for processes that tests start.
 //
 // The ports lie below the system's range for outgoing connections. A port of that range may
-// be taken by an outgoing connection between its choice and its use.
+// be taken by an outgoing connection between its choice and its use. A chosen port stays held by
+// a file lock until its test ends, so that no other test process chooses it before its user
+// listens, or between two runs of its user.
 package freeport
 
 import (
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
+	"strconv"
 	"sync/atomic"
+	"testing"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
-	firstPort     = 30_200
-	portCount     = 2_500 // ends below the range for outgoing connections
-	processStride = 37    // offset between concurrent processes with consecutive IDs
+	firstPort = 12_000
+	portCount = 20_700 // ends below the range for outgoing connections
+	// processStride is the offset between the first choices of processes with consecutive ids. It saves
+	// them from trying each other's ports.
+	processStride = 37
 )
 
 var next atomic.Int64
 
 func init() { next.Store(int64(os.Getpid()) * processStride % portCount) }
 
-// Address returns a loopback address with a port on which nothing listens. It is safe for
-// concurrent use.
-func Address() (string, error) {
+// Address returns a loopback address on which nothing listens, and which no other test is given
+// until t ends. It is safe for concurrent use.
+func Address(t testing.TB) string {
+	t.Helper()
+	folder := filepath.Join(os.TempDir(), fmt.Sprint("hickoryridge-ports-", os.Getuid()))
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		t.Fatal(err)
+	}
 	for range portCount {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+next.Add(1)%portCount)
-		l, err := net.Listen("tcp", addr)
+		port := int(firstPort + next.Add(1)%portCount)
+		lock, err := hold(folder, port)
 		if err != nil {
-			continue // the port is in use
+			t.Fatal(err)
+		}
+		if lock == nil {
+			continue
 		}
-		return addr, l.Close()
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		if !free(addr) {
+			_ = lock.Close() // releases it
+			continue
+		}
+		t.Cleanup(func() { _ = lock.Close() }) // as above
+		return addr
+	}
+	t.Fatalf("no free port from %d to %d", firstPort, firstPort+portCount-1)
+	return ""
+}
+
+// hold locks the file of a port. It returns nil if another test holds the port.
+func hold(folder string, port int) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(folder, strconv.Itoa(port)), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	err = unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB)
+	if err == nil {
+		return f, nil
+	}
+	_ = f.Close() // not locked
+	if err == unix.EWOULDBLOCK || err == unix.EINTR {
+		return nil, nil
+	}
+	return nil, fmt.Errorf("locking the file of port %d: %w", port, err)
+}
+
+// free reports whether nothing listens on an address.
+func free(addr string) bool {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
 	}
-	return "", fmt.Errorf("no free port from %d to %d", firstPort, firstPort+portCount)
+	return l.Close() == nil
 }
