--- a/dispatch/backend.go
+++ b/dispatch/backend.go
@@ -26,6 +26,7 @@
 	Host        string
 	Header      http.Header // end-to-end headers
 	Body        []byte
+	Credential  string        // what the caller proves its identity with; empty if it sent nothing
 	Parts       []router.Part // prompt parts; none for a plain service
 	LastEventID string        // id of the last event that the caller has received
 	// BegunBy is the id of the request that brought the first event of the stream that the caller takes
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -44,7 +44,8 @@
 	d          *Dispatcher
 	req        *ForwardRequest
 	sink       Sink
-	hasEngines bool // the service is a model service
+	hasEngines bool   // the service is a model service
+	digest     string // of the request
 
 	promptTokens   ident.Tokens
 	blocks         []uint64
@@ -80,7 +81,7 @@
 	remaining := f.remaining(clock.Now())
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	r := &forwardRun{d: d, req: f, sink: sink, lastEventID: f.LastEventID, hasEngines: len(f.Parts) > 0, promptTokens: router.PartTokens(f.Parts)}
+	r := &forwardRun{d: d, req: f, sink: sink, lastEventID: f.LastEventID, hasEngines: len(f.Parts) > 0, digest: f.Digest(), promptTokens: router.PartTokens(f.Parts)}
 	if r.hasEngines {
 		r.blocks = router.PartBlockHashes(nil, f.Parts)
 		r.sharedParts = sharedParts(f.Parts)
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -67,13 +67,10 @@
 	a.ReportAnswer(true)
 	a.MarkFailed()
 	r.recordCrash(ctx, a, head)
-	if !r.hasEngines {
-		return
-	}
 	r.d.cfg.Log.WithFields(logrus.Fields{
-		"event": "answer_broken", "request": r.req.ID, "service": r.req.Service, "target": a.Choice.ID, "incarnation": a.incarnation,
+		"event": "answer_broken", "request": r.req.ID, "digest": r.digest, "service": r.req.Service, "target": a.Choice.ID, "incarnation": a.incarnation,
 		"parts": r.sharedParts, "head": head, "begun": a.gotFirstToken, "after": r.lastEventID, "ms": clock.Now().Sub(a.sentAt).Milliseconds(), "cause": cause,
-	}).Info("an engine's answer broke off")
+	}).Info("a target gave no complete answer")
 }
 
 // sharedParts returns the ids of the parts of a prompt that other requests may have too: all but the
