quarantine: a request that crashes replicas is refused by its digest, with or without a prompt

Cause: evidence was kept for the shared parts of prompts only. A request without a prompt has none, so each attempt counted against its replica, and the request went on to the next by retries of the entry and of the caller. Class: a fault of the request that is put down to the server, by instances each of which sees its own part.

Change: the whole request, named by its digest, is the last of its parts. The same evidence, facts, quarantine, log and hickoryctl serve it. One answer clears it. Besides: - a crash counts if connections are refused; a silent or cut off target has not crashed.

--- a/cmd/hickoryctl/commands.go
+++ b/cmd/hickoryctl/commands.go
@@ -189,7 +189,7 @@
 	_, _ = t.Write([]byte("\n")) // as above
 }
 
-// parts prints the parts of prompts in quarantine.
+// parts prints the parts of prompts and the requests in quarantine.
 func parts(c *client, _ []string) int {
 	var list []quarantine.Suspect
 	if status, ok := c.call(http.MethodGet, "/v1/parts", nil, &list); !ok {
@@ -199,9 +199,9 @@
 		return c.printJSON(list)
 	}
 	w := newTable(c.out)
-	w.row("service", "part", "software", "crashes", "answers", "until")
+	w.row("service", "kind", "part", "software", "crashes", "answers", "until")
 	for _, s := range list {
-		w.row(string(s.Part.Service), s.Part.ID, string(s.Part.Software), strconv.Itoa(s.Crashes), strconv.Itoa(s.Answers), s.Until.AsDuration().Round(time.Second).String())
+		w.row(string(s.Part.Service), kindOf(s.Part), s.Part.ID, string(s.Part.Software), strconv.Itoa(s.Crashes), strconv.Itoa(s.Answers), s.Until.AsDuration().Round(time.Second).String())
 	}
 	if err := w.Flush(); err != nil {
 		return cli.ExitFailed
@@ -209,14 +209,22 @@
 	return cli.ExitOK
 }
 
-// release ends the quarantine of a part of prompts.
+// kindOf names what a part is.
+func kindOf(p quarantine.Part) string {
+	if p.Whole {
+		return "request"
+	}
+	return "part"
+}
+
+// release ends the quarantine of a part of prompts or a request.
 func release(c *client, args []string) int {
 	var done map[string]bool
 	path := "/v1/parts/" + url.PathEscape(args[0]) + "/" + url.PathEscape(args[1])
 	if status, ok := c.call(http.MethodDelete, path, nil, &done); !ok {
 		return exitCodeOf(status)
 	}
-	c.printf("part %s of service %s: released; it is in quarantine again if it crashes engines\n", args[1], args[0])
+	c.printf("%s of service %s: released; in quarantine again if it crashes targets\n", args[1], args[0])
 	return cli.ExitOK
 }
 
--- a/cmd/hickoryctl/main.go
+++ b/cmd/hickoryctl/main.go
@@ -20,7 +20,7 @@
   targets                       print the targets that the instance has in its table
   drain TARGET                  stop sending new requests to a target
   undrain TARGET                send new requests to a drained target again
-  parts                         print the parts of prompts in quarantine, because they crash engines
+  parts                         print the parts of prompts and the requests in quarantine, because they crash targets
   release SERVICE PART          end the quarantine of a part of prompts
   receipt TENANT SERVICE KEY    print the receipt of a request that runs at most once
   explain REQUEST LOG...        reconstruct the outcome of a request from log files
--- a/dispatch/backend.go
+++ b/dispatch/backend.go
@@ -106,8 +106,9 @@
 	Prefill(ctx context.Context, c Call) (*KVCacheRef, Outcome)
 	// Release frees KV cache that will not be used.
 	Release(ctx context.Context, c *KVCacheRef)
-	// Reachable reports whether a target accepts connections at an address.
-	Reachable(ctx context.Context, address string) bool
+	// Refuses reports whether connections to an address are refused because nothing listens there.
+	// It returns false for a target that does not reply.
+	Refuses(ctx context.Context, address string) bool
 }
 
 // Sink receives the answer to a forwarded request. Begin is called once, before the first Write.
--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return r.handleTruncated(ctx, a, err)
 	}
+	r.d.recordBegun(a, r.parts)
 	a.FirstToken()
 	failed := answer.Status >= http.StatusInternalServerError
 	if failed && r.mayResend() && ctx.Err() == nil && r.d.mayRetry(r.req.Service) {
@@ -139,7 +140,7 @@
 		r.d.cfg.Metrics.InterTokenLatency("", ident.ClassID(r.req.Rule.Name), pause)
 	}
 	if !a.gotFirstToken {
-		r.recordBegun(a)
+		r.d.recordBegun(a, r.parts)
 	}
 	a.FirstToken()
 	r.lastByteAt = now
--- a/dispatch/facts.go
+++ b/dispatch/facts.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
@@ -108,28 +109,29 @@
 	}
 }
 
-// began records that an answer began on the shared parts of a prompt.
-func (f *Facts) began(now clock.Time, parts []quarantine.Part) {
+// began records that an answer of a target began on the given parts.
+func (f *Facts) began(now clock.Time, target ident.TargetID, parts []quarantine.Part) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.add(now, f.memory.Began(now, parts))
+	f.add(now, f.memory.Began(now, target, parts))
 }
 
-// crashed records that an engine crashed before an answer began on the shared parts of a prompt.
-func (f *Facts) crashed(now clock.Time, parts []quarantine.Part, c quarantine.Crash, head bool) {
+// crashed records that a target crashed before an answer began on the given parts, which were sent to it
+// the given time ago.
+func (f *Facts) crashed(now clock.Time, parts []quarantine.Part, c quarantine.Crash, head bool, sent time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.add(now, f.memory.Crashed(parts, c, head))
+	f.memory.Crashed(now, parts, c, head, sent)
 }
 
-// check returns a fault.PartQuarantined error if one of the parts is in quarantine.
-func (f *Facts) check(now clock.Time, service ident.ServiceID, ids []string) error {
+// check returns a fault.PartQuarantined error if one of the parts is in quarantine at any version.
+func (f *Facts) check(now clock.Time, parts []quarantine.Part) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	part, left, found := f.memory.Quarantined(now, service, ids)
+	part, left, found := f.memory.Quarantined(now, parts)
 	if !found {
 		return nil
 	}
-	err := fault.New(fault.PartQuarantined, "part %s of the prompt crashes the engines of service %q and is in quarantine for %.0f s", part.ID, service, left.Seconds())
+	err := fault.New(fault.PartQuarantined, "%v crashes the targets of service %q and is in quarantine for %.0f s", part, part.Service, left.Seconds())
 	return fault.WithRetryAfter(err, left)
 }
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -13,6 +13,7 @@
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
 	"github.com/hickoryridge/hickoryridge/router"
 )
 
@@ -49,7 +50,7 @@
 
 	promptTokens   ident.Tokens
 	blocks         []uint64
-	sharedParts    []string // ids of the prompt's parts that other requests may have too
+	parts          []quarantine.Part // what may crash a target, without the software version
 	admitted       admit.Request
 	preplaced      *Assignment // first attempt, assigned before admission; nil if there is none
 	admittedAt     clock.Time  // time of admission
@@ -84,11 +85,11 @@
 	r := &forwardRun{d: d, req: f, sink: sink, lastEventID: f.LastEventID, hasEngines: len(f.Parts) > 0, digest: f.Digest(), promptTokens: router.PartTokens(f.Parts)}
 	if r.hasEngines {
 		r.blocks = router.PartBlockHashes(nil, f.Parts)
-		r.sharedParts = sharedParts(f.Parts)
 	}
 	if err := r.takeUp(ctx); err != nil {
 		return r.fail(ctx, err)
 	}
+	r.parts = suspectParts(f.Service, sharedParts(f.Parts), r.digest)
 	if err := r.admit(ctx); err != nil {
 		return r.fail(ctx, err)
 	}
@@ -153,10 +154,10 @@
 // bounds the work that this instance has at the engines.
 func (r *forwardRun) admit(ctx context.Context) error {
 	r.admitted = admit.Request{Class: ident.ClassID(r.req.Rule.Name), Objective: r.objective()}
+	if err := r.d.checkParts(r.parts); err != nil {
+		return err
+	}
 	if r.hasEngines {
-		if err := r.checkParts(); err != nil {
-			return err
-		}
 		if err := r.estimateCost(ctx); err != nil {
 			return err
 		}
@@ -281,7 +282,7 @@
 
 // choose chooses a target for one stage of the request.
 func (r *forwardRun) choose(ctx context.Context, req router.Request, objective time.Duration) (*Assignment, error) {
-	if err := r.checkParts(); err != nil {
+	if err := r.d.checkParts(r.parts); err != nil {
 		return nil, err
 	}
 	assigned, err := r.place(ctx, req, objective)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -11,6 +11,7 @@
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/router"
 	"github.com/hickoryridge/hickoryridge/state"
@@ -176,6 +177,18 @@
 	return versions
 }
 
+// Announced returns when a target announced itself last in the incarnation that a crash would have ended. It
+// returns false if the target is not known, has left or has another incarnation.
+func (pool *TargetPool) Announced(c quarantine.Crash) (clock.Time, bool) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	r, known := pool.table.Get(c.Target)
+	if !known || r.Leaving || r.Incarnation != c.Incarnation {
+		return 0, false
+	}
+	return r.Expires.Add(-min(r.Lease.AsDuration(), pool.table.MaxLease())), true
+}
+
 // RemoveExpired removes targets whose announcements stopped long ago.
 func (pool *TargetPool) RemoveExpired(now clock.Time) {
 	pool.mu.Lock()
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -6,59 +6,84 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
 	"github.com/hickoryridge/hickoryridge/router"
 )
 
-// A request whose prompt has a part in quarantine is refused before each attempt, and what becomes of an
-// attempt is evidence for or against the shared parts of its prompt; see package quarantine.
+// A request that is in quarantine, or whose prompt has a part there, is refused before each attempt.
+// What becomes of an attempt is evidence for or against the request and the shared parts of its
+// prompt; see package quarantine.
 
-// crashCheckTimeout bounds the time to find out whether an engine has crashed: a round trip between
+// crashCheckTimeout bounds the time to find out whether a target has crashed: a round trip between
 // regions.
 const crashCheckTimeout = 100 * time.Millisecond
 
-// checkParts returns a fault.PartQuarantined error if the request may not be sent because of its prompt.
-func (r *forwardRun) checkParts() error {
-	if !r.hasEngines || r.d.cfg.Facts == nil {
+// suspectParts returns what may crash the target of a request: the shared parts of its prompt, and
+// last the whole request. The software version is left out.
+func suspectParts(service ident.ServiceID, sharedParts []string, digest string) []quarantine.Part {
+	var parts []quarantine.Part
+	for _, id := range sharedParts {
+		parts = append(parts, quarantine.Part{Service: service, ID: id})
+	}
+	return append(parts, quarantine.Part{Service: service, ID: digest, Whole: true})
+}
+
+// sharedParts returns the ids of the parts of a prompt that other requests may have too: all but the
+// last one.
+func sharedParts(parts []router.Part) []string {
+	var ids []string
+	for _, p := range parts[:max(0, len(parts)-1)] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
+// checkParts returns a fault.PartQuarantined error if a request with the given parts may not be sent.
+func (d *Dispatcher) checkParts(parts []quarantine.Part) error {
+	if d.cfg.Facts == nil {
 		return nil
 	}
-	return r.d.cfg.Facts.check(clock.Now(), r.req.Service, r.sharedParts)
+	return d.cfg.Facts.check(clock.Now(), parts)
 }
 
-// recordBegun records that the first event of an answer has come.
-func (r *forwardRun) recordBegun(a *Assignment) {
-	if r.hasEngines && r.d.cfg.Facts != nil {
-		r.d.cfg.Facts.began(clock.Now(), r.partsAt(a))
+// recordBegun records that an answer to a request with the given parts has come or begun.
+func (d *Dispatcher) recordBegun(a *Assignment, parts []quarantine.Part) {
+	if d.cfg.Facts != nil {
+		d.cfg.Facts.began(clock.Now(), a.Choice.ID, quarantine.At(a.Software, parts))
 	}
 }
 
-// recordCrash finds out whether the target of an answer that broke off has crashed, and records it.
-// An engine that still accepts connections has not.
-func (r *forwardRun) recordCrash(ctx context.Context, a *Assignment, head bool) {
-	if !r.hasEngines || r.d.cfg.Facts == nil || a.gotFirstToken {
+// recordCrash finds out whether the target of an attempt without an answer has crashed, and records
+// it as evidence against the given parts. head is set if the head of the answer arrived. A target
+// that is silent has not crashed: its machine would refuse connections.
+func (d *Dispatcher) recordCrash(ctx context.Context, a *Assignment, request string, parts []quarantine.Part, head bool) {
+	if d.cfg.Facts == nil || a.gotFirstToken {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
-	if r.d.cfg.Backend.Reachable(ctx, a.Address) {
+	if !d.cfg.Backend.Refuses(ctx, a.Address) {
 		return
 	}
-	r.d.cfg.Facts.crashed(clock.Now(), r.partsAt(a), quarantine.Crash{Target: a.Choice.ID, Incarnation: a.incarnation}, head)
-	r.d.cfg.Metrics.Count("engine_crashes_seen")
-	r.d.cfg.Log.WithFields(logrus.Fields{
-		"event": "engine_crashed", "request": r.req.ID, "service": r.req.Service, "target": a.Choice.ID, "incarnation": a.incarnation, "software": a.Software,
-		"parts": r.sharedParts, "head": head,
-	}).Info("an engine crashed before it sent an event of an answer")
+	now := clock.Now()
+	crash := quarantine.Crash{Target: a.Choice.ID, Incarnation: a.incarnation}
+	d.cfg.Facts.crashed(now, quarantine.At(a.Software, parts), crash, head, now.Sub(a.sentAt))
+	d.cfg.Metrics.Count("engine_crashes_seen")
+	d.cfg.Log.WithFields(logrus.Fields{
+		"event": "engine_crashed", "request": request, "service": a.req.Service, "target": a.Choice.ID, "incarnation": a.incarnation, "software": a.Software,
+		"parts": idsOf(parts), "head": head,
+	}).Info("a target crashed before an answer began")
 }
 
-// partsAt returns the shared parts of the prompt at the software version of a target.
-func (r *forwardRun) partsAt(a *Assignment) []quarantine.Part {
-	var parts []quarantine.Part
-	for _, id := range r.sharedParts {
-		parts = append(parts, quarantine.Part{Service: r.req.Service, Software: a.Software, ID: id})
+// idsOf returns the ids of parts.
+func idsOf(parts []quarantine.Part) []string {
+	ids := make([]string, 0, len(parts))
+	for _, p := range parts {
+		ids = append(ids, p.ID)
 	}
-	return parts
+	return ids
 }
 
 // recordBroken records that the target gave no complete answer, although the caller was still there.
@@ -66,19 +91,9 @@
 func (r *forwardRun) recordBroken(ctx context.Context, a *Assignment, head bool, cause error) {
 	a.ReportAnswer(true)
 	a.MarkFailed()
-	r.recordCrash(ctx, a, head)
+	r.d.recordCrash(ctx, a, r.req.ID, r.parts, head)
 	r.d.cfg.Log.WithFields(logrus.Fields{
 		"event": "answer_broken", "request": r.req.ID, "digest": r.digest, "service": r.req.Service, "target": a.Choice.ID, "incarnation": a.incarnation,
-		"parts": r.sharedParts, "head": head, "begun": a.gotFirstToken, "after": r.lastEventID, "ms": clock.Now().Sub(a.sentAt).Milliseconds(), "cause": cause,
+		"parts": idsOf(r.parts[:len(r.parts)-1]), "head": head, "begun": a.gotFirstToken, "after": r.lastEventID, "ms": clock.Now().Sub(a.sentAt).Milliseconds(), "cause": cause,
 	}).Info("a target gave no complete answer")
 }
-
-// sharedParts returns the ids of the parts of a prompt that other requests may have too: all but the
-// last one.
-func sharedParts(parts []router.Part) []string {
-	var ids []string
-	for _, p := range parts[:max(0, len(parts)-1)] {
-		ids = append(ids, p.ID)
-	}
-	return ids
-}
--- a/instance/facthub.go
+++ b/instance/facthub.go
@@ -11,6 +11,7 @@
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/fact"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/stream"
 	"github.com/hickoryridge/hickoryridge/internal/task"
 	"github.com/hickoryridge/hickoryridge/peer"
@@ -33,6 +34,8 @@
 // factHub holds the facts at a voter and replies to the instances that read them. It is safe for
 // concurrent use.
 type factHub struct {
+	announced quarantine.Announced
+
 	mu        sync.Mutex
 	collector *fact.Collector
 	derived   chan struct{} // closed when what follows from the facts changes
@@ -40,8 +43,8 @@
 	unread    bool          // instances have published facts since published was closed
 }
 
-func newFactHub() *factHub {
-	return &factHub{collector: fact.NewCollector(clock.Now(), rand.Uint64()|1), derived: make(chan struct{}), published: make(chan struct{})}
+func newFactHub(announced quarantine.Announced) *factHub {
+	return &factHub{announced: announced, collector: fact.NewCollector(clock.Now(), rand.Uint64()|1), derived: make(chan struct{}), published: make(chan struct{})}
 }
 
 // publish records facts that an instance publishes.
@@ -90,7 +93,7 @@
 			close(h.published)
 			h.published = make(chan struct{})
 		}
-		if h.collector.Derive(clock.Now()) {
+		if h.collector.Derive(clock.Now(), h.announced) {
 			close(h.derived)
 			h.derived = make(chan struct{})
 		}
--- a/instance/facts.go
+++ b/instance/facts.go
@@ -153,11 +153,11 @@
 
 func (in *Instance) logQuarantine(c quarantine.Change) {
 	s := c.Suspect
-	event, text := "part_quarantined", "a part of prompts crashes engines; requests with it are refused"
+	event, text := "part_quarantined", "a part of prompts, or a whole request, crashes targets; it is refused"
 	if c.Ended {
-		event, text = "part_released", "requests with a part of prompts are no longer refused"
+		event, text = "part_released", "a part of prompts, or a whole request, is no longer refused"
 	}
 	in.log.WithFields(logrus.Fields{
-		"event": event, "service": s.Part.Service, "software": s.Part.Software, "part": s.Part.ID, "crashes": s.Crashes, "answers": s.Answers, "until": s.Until.AsDuration().Milliseconds(),
+		"event": event, "service": s.Part.Service, "software": s.Part.Software, "part": s.Part.ID, "whole": s.Part.Whole, "crashes": s.Crashes, "answers": s.Answers, "until": s.Until.AsDuration().Milliseconds(),
 	}).Warn(text)
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -139,7 +139,7 @@
 	if s.Routing.Facts {
 		in.factClient = newFactClient(in)
 		if s.Voter() {
-			in.factHub = newFactHub()
+			in.factHub = newFactHub(in.targetPool.Announced)
 		}
 	}
 	in.dispatcher = dispatch.New(dispatch.Config{
--- a/internal/cluster/fact/collector.go
+++ b/internal/cluster/fact/collector.go
@@ -127,14 +127,15 @@
 	}
 }
 
-// Derive determines what follows from the facts, and reports whether that has changed.
-func (c *Collector) Derive(now clock.Time) bool {
+// Derive determines what follows from the facts and from the announcements of targets, and reports
+// whether that has changed.
+func (c *Collector) Derive(now clock.Time, announced quarantine.Announced) bool {
 	interval := deriveInterval + time.Duration(c.evidence.Len())*derivePerPart
 	if !c.dirty && now.Sub(c.derived) < interval {
 		return false
 	}
 	c.dirty, c.derived = false, now
-	suspects := c.evidence.Suspects(now)
+	suspects := c.evidence.Suspects(now, announced)
 	if now.Sub(c.started) < warmUpTime {
 		for i := range suspects {
 			suspects[i].Quarantined = false
--- a/internal/cluster/quarantine/evidence.go
+++ b/internal/cluster/quarantine/evidence.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/ident"
@@ -26,9 +27,16 @@
 
 type crash struct {
 	at     clock.Time
+	sent   time.Duration // from sending the request until the crash; 0 if it is not known
 	weight int
 }
 
+// sameMoment reports whether a crash came at the same moment as another one before it.
+func (c crash) sameMoment(first crash) bool {
+	sentBefore := c.sent == 0 || !c.at.Add(-c.sent).After(first.at)
+	return c.at.Sub(first.at) < crashSpan && sentBefore
+}
+
 type answers struct {
 	count int
 	at    clock.Time
@@ -89,7 +97,7 @@
 	if seen {
 		at = min(at, known.at)
 	}
-	r.crashes[c.Crash] = crash{at, max(weight, known.weight)}
+	r.crashes[c.Crash] = crash{at, max(c.Sent, known.sent), max(weight, known.weight)}
 }
 
 // record returns the record of a part, which it creates if necessary, or nil if there are too many.
@@ -121,7 +129,7 @@
 	var all Report
 	for part, r := range e.parts {
 		for id, c := range r.crashes {
-			all.Crashed = append(all.Crashed, Crashed{Part: part, Crash: id, Head: c.weight == headWeight, Depth: r.depth, Age: now.Sub(c.at)})
+			all.Crashed = append(all.Crashed, r.crashed(now, part, id, c))
 		}
 		for id, a := range r.answers {
 			all.Answered = append(all.Answered, Answered{Part: part, Instance: id, Count: a.count, Age: now.Sub(a.at)})
@@ -160,12 +168,12 @@
 
 // Suspects returns the parts with more evidence against than for them: those to quarantine, and at most
 // maxSuspects others. The latter include parts whose crashes are explained, so that the answers on them
-// are reported before another crash.
-func (e *Evidence) Suspects(now clock.Time) []Suspect {
+// are reported before another crash. Crashes of targets that go on announcing themselves do not count.
+func (e *Evidence) Suspects(now clock.Time, announced Announced) []Suspect {
 	e.Expire(now)
-	all := e.candidates()
+	explained := e.refuted(announced) // and later those explained by parts that are quarantined
+	all := e.candidates(explained)
 	open := slices.Clone(all)
-	explained := map[Crash]bool{} // by parts that are quarantined
 	var suspects []Suspect
 	for {
 		for i := range open {
@@ -196,11 +204,26 @@
 	return suspects
 }
 
+// refuted returns the crashes after which the target went on announcing itself.
+func (e *Evidence) refuted(announced Announced) map[Crash]bool {
+	refuted := map[Crash]bool{}
+	for _, r := range e.parts {
+		for id, c := range r.crashes {
+			if _, known := refuted[id]; known {
+				continue // many parts are in the same crashes
+			}
+			at, ok := announced(id)
+			refuted[id] = ok && at.Sub(c.at) > announceMargin
+		}
+	}
+	return refuted
+}
+
 // candidates returns all parts, those with the most evidence against them first.
-func (e *Evidence) candidates() []candidate {
+func (e *Evidence) candidates(refuted map[Crash]bool) []candidate {
 	var all []candidate
 	for part, r := range e.parts {
-		all = append(all, candidate{part: part, record: r, score: r.score(nil), answers: r.answerCount()})
+		all = append(all, candidate{part: part, record: r, score: r.score(refuted), answers: r.answerCount()})
 	}
 	slices.SortFunc(all, func(a, b candidate) int { return compareCandidates(b, a) })
 	return all
@@ -214,7 +237,7 @@
 	return n
 }
 
-// score returns the weight of the crashes that are not explained, of which those within crashSpan
+// score returns the weight of the crashes that are not explained, of which those at the same moment
 // count once.
 func (r *record) score(explained map[Crash]bool) int {
 	var counted []crash
@@ -226,8 +249,8 @@
 	slices.SortFunc(counted, func(a, b crash) int { return cmp.Compare(a.at, b.at) })
 	score := 0
 	for i := 0; i < len(counted); {
-		first, weight := counted[i].at, 0
-		for ; i < len(counted) && counted[i].at.Sub(first) < crashSpan; i++ {
+		first, weight := counted[i], 0
+		for ; i < len(counted) && counted[i].sameMoment(first); i++ {
 			weight = max(weight, counted[i].weight)
 		}
 		score += weight
@@ -236,7 +259,12 @@
 }
 
 // net returns the evidence against the part less that for it.
-func (c candidate) net() int { return c.score - answerWeight*c.answers }
+func (c candidate) net() int {
+	if c.part.Whole && c.answers > 0 {
+		return 0
+	}
+	return c.score - answerWeight*c.answers
+}
 
 // compareCandidates orders parts by suspicion: by the evidence, then by the place in the prompt, then by name
 // so that all voters agree.
@@ -254,5 +282,25 @@
 	}
 	s := Suspect{Part: c.part, Crashes: len(c.record.crashes), Answers: c.answers, Until: desired.Duration(last.Add(EvidenceTime).Sub(now))}
 	s.Quarantined = c.net() >= threshold && now.Sub(c.record.known) >= settleTime
+	if s.Quarantined {
+		s.Proof = c.record.proof(now, c.part)
+	}
 	return s
 }
+
+// proof returns the last crashes of a part.
+func (r *record) proof(now clock.Time, p Part) []Crashed {
+	var all []Crashed
+	for id, c := range r.crashes {
+		all = append(all, r.crashed(now, p, id, c))
+	}
+	slices.SortFunc(all, func(a, b Crashed) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Crash.Target, b.Crash.Target))
+	})
+	return all[:min(maxProof, len(all))]
+}
+
+// crashed returns the report of a crash.
+func (r *record) crashed(now clock.Time, p Part, id Crash, c crash) Crashed {
+	return Crashed{Part: p, Crash: id, Head: c.weight == headWeight, Depth: r.depth, Sent: c.sent, Age: now.Sub(c.at)}
+}
--- a/internal/cluster/quarantine/memory.go
+++ b/internal/cluster/quarantine/memory.go
@@ -20,11 +20,16 @@
 	// their number has doubled.
 	reportInterval = 1 * time.Second
 	// clearedCount is the number of answers from which an instance does not report a crash of a part:
-	// its answers outweigh what it could report.
+	// its answers outweigh what it could report. One is enough for a whole request.
 	clearedCount = 3
 	// changeGrace is the time for which a quarantine goes on after the voter that is asked has
 	// changed. By then, one that has just started has the evidence again.
 	changeGrace = 4 * time.Second
+	// holdTime is the time after which a crash is reported although no other target has answered since.
+	// By then a target that still runs has announced itself again.
+	holdTime = 2 * time.Second
+	// maxHeld bounds the crashes that are held.
+	maxHeld = 256
 )
 
 // Memory is the record of one instance: the answers that began here lately, and the suspects as the voters
@@ -35,6 +40,8 @@
 	before   map[Part]int // answers in the generation before
 	rotated  clock.Time
 
+	held []held // crashes that are not reported yet, oldest first
+
 	run         uint64     // of the voter that determined the suspects
 	graceUntil  clock.Time // until then, quarantines of earlier runs go on in any case
 	suspects    map[Part]bool
@@ -45,10 +52,18 @@
 // quarantined is a part in quarantine.
 type quarantined struct {
 	suspect Suspect
-	run     uint64 // that determined it last
+	at      clock.Time // when it was determined last
+	run     uint64     // that determined it last
 	until   clock.Time
 }
 
+// held is the report of a crash that waits until this instance is known to be connected.
+type held struct {
+	at     clock.Time
+	target ident.TargetID
+	report Report
+}
+
 // reported is a report of answers.
 type reported struct {
 	at    clock.Time
@@ -63,11 +78,11 @@
 	}
 }
 
-// Began records that an answer began on the given parts. It returns a report if one of them is a
-// suspect.
-func (m *Memory) Began(now clock.Time, parts []Part) Report {
+// Began records that an answer of a target began on the given parts. It returns a report if one of them
+// is a suspect, or if the answer shows that other targets have crashed and this instance is not cut off.
+func (m *Memory) Began(now clock.Time, target ident.TargetID, parts []Part) Report {
 	m.rotate(now)
-	var r Report
+	r := m.release(now, func(h held) bool { return h.target != target })
 	for _, p := range parts {
 		m.began[p]++
 		if m.suspects[p] {
@@ -100,21 +115,40 @@
 	return append(to, Answered{Part: p, Instance: m.instance, Count: n})
 }
 
-// Crashed returns the report of a crash of the engine that a request with the given shared parts was
-// at. No event of its answer had come; head is set if the head had.
-func (m *Memory) Crashed(parts []Part, c Crash, head bool) Report {
+// Crashed records a crash of the target to which a request with the given parts was sent the given time
+// ago. No event of its answer had come; head is set if the head had. The crash is reported once another target has
+// answered, since an instance that is cut off from all targets is no witness.
+func (m *Memory) Crashed(now clock.Time, parts []Part, c Crash, head bool, sent time.Duration) {
 	var r Report
 	for depth, p := range parts {
 		n := m.count(p)
-		if n >= clearedCount || len(p.ID) > MaxPartLength {
+		if n >= clearedCount || p.Whole && n > 0 || len(p.ID) > MaxPartLength {
 			continue
 		}
-		r.Crashed = append(r.Crashed, Crashed{Part: p, Crash: c, Head: head, Depth: depth})
+		r.Crashed = append(r.Crashed, Crashed{Part: p, Crash: c, Head: head, Depth: depth, Sent: sent})
 		if n > 0 {
 			r.Answered = append(r.Answered, Answered{Part: p, Instance: m.instance, Count: n})
 		}
 	}
-	return r
+	if r.Empty() {
+		return
+	}
+	m.held = append(m.held, held{now, c.Target, r})
+	m.held = m.held[max(0, len(m.held)-maxHeld):]
+}
+
+// release returns the reports of the held crashes that are shown to be some or have been held for long
+// enough.
+func (m *Memory) release(now clock.Time, shown func(held) bool) Report {
+	var all Report
+	m.held = slices.DeleteFunc(m.held, func(h held) bool {
+		due := shown(h) || now.Sub(h.at) >= holdTime
+		if due {
+			all.Add(h.report.Aged(now.Sub(h.at)))
+		}
+		return due
+	})
+	return all
 }
 
 // Change is what became of the quarantine of a part.
@@ -126,11 +160,12 @@
 // Apply replaces the suspects by those that a run of a voter determined. It returns the quarantines
 // that began or ended here, and the report that is due on the suspects.
 func (m *Memory) Apply(now clock.Time, run uint64, suspects []Suspect) ([]Change, Report) {
+	due := m.release(now, func(held) bool { return false })
 	if run != m.run {
 		m.run, m.graceUntil = run, now.Add(changeGrace)
+		due.Add(m.proofs(now))
 	}
 	var changed []Change
-	var due Report
 	m.suspects = map[Part]bool{}
 	stays := map[Part]bool{}
 	for _, s := range suspects {
@@ -143,7 +178,7 @@
 		if _, already := m.quarantined[s.Part]; !already {
 			changed = append(changed, Change{Suspect: s})
 		}
-		m.quarantined[s.Part] = quarantined{s, run, now.Add(s.Until.AsDuration())}
+		m.quarantined[s.Part] = quarantined{s, now, run, now.Add(s.Until.AsDuration())}
 	}
 	for p, q := range m.quarantined {
 		inGrace := q.run != run && now.Before(m.graceUntil)
@@ -156,11 +191,21 @@
 	return changed, due
 }
 
-// Quarantined returns the first of the given parts of a service that is in quarantine at any version,
-// with the time until its quarantine ends.
-func (m *Memory) Quarantined(now clock.Time, service ident.ServiceID, ids []string) (Part, time.Duration, bool) {
+// proofs returns the crashes that prove the quarantines.
+func (m *Memory) proofs(now clock.Time) Report {
+	var all Report
+	for _, q := range m.quarantined {
+		all.Add(Report{Crashed: q.suspect.Proof}.Aged(now.Sub(q.at)))
+	}
+	return all
+}
+
+// Quarantined returns the first of the given parts that is in quarantine at any version, with the
+// time until its quarantine ends.
+func (m *Memory) Quarantined(now clock.Time, parts []Part) (Part, time.Duration, bool) {
 	for p, q := range m.quarantined {
-		if p.Service == service && now.Before(q.until) && slices.Contains(ids, p.ID) {
+		p.Software = ""
+		if now.Before(q.until) && slices.Contains(parts, p) {
 			return p, q.until.Sub(now), true
 		}
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -54,12 +54,12 @@
 	Leader  Leader
 	Targets func() []target.Record
 	Limits  func() []permit.Limit // rate limits that targets have named
-	Parts   Parts                 // parts of prompts in quarantine; nil if there are none
+	Parts   Parts                 // parts of prompts and requests in quarantine; nil if there are none
 	Local   func() LocalStatus
 	Log     *logrus.Entry
 }
 
-// Parts gives access to the parts of prompts in quarantine.
+// Parts gives access to the parts of prompts and the requests in quarantine.
 type Parts interface {
 	Quarantined(now clock.Time) []quarantine.Suspect
 	// Release ends the quarantine of a part at every instance.
