plain: the project's own interface refuses a request that crashes replicas, too

An attempt without an answer whose target refuses connections is evidence against the request's digest, an answer speaks for it. Quarantine is looked at when the request is sent, so after its receipt: a receipt whose outcome is unknown stays unknown. Beside it, seen while testing: the error of a later attempt said "not run" (no target) although an attempt before it may have run; ranBefore.

--- a/dispatch/digest.go
+++ b/dispatch/digest.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"hash"
 )
 
 // digestLength is the length of a request's digest in bytes.
@@ -14,19 +13,19 @@
 // same work. They may come from callers' retries, which have other ids and deadlines. A
 // cryptographic hash keeps a caller from making a request that is mistaken for another one.
 func (f *ForwardRequest) Digest() string {
-	h := sha256.New()
-	writeField(h, f.Method)
-	writeField(h, f.Host)
-	writeField(h, f.URI)
-	writeField(h, f.Credential)
+	fields := []string{f.Method, f.Host, f.URI, f.Credential}
 	for _, p := range f.Parts {
-		writeField(h, p.ID)
+		fields = append(fields, p.ID)
 	}
-	h.Write(f.Body) // the last field, and never fails
-	return hex.EncodeToString(h.Sum(nil)[:digestLength])
+	return digest(f.Body, fields...)
 }
 
-// writeField writes a field and its length, so that fields cannot be mistaken for one another.
-func writeField(h hash.Hash, s string) {
-	_, _ = fmt.Fprintf(h, "%d:%s", len(s), s) // a hash never fails
+// digest returns the digest of a request with a body and other fields.
+func digest(body []byte, fields ...string) string {
+	h := sha256.New()
+	for _, s := range fields {
+		_, _ = fmt.Fprintf(h, "%d:%s", len(s), s) // lengths keep fields apart; a hash never fails
+	}
+	h.Write(body) // as above
+	return hex.EncodeToString(h.Sum(nil)[:digestLength])
 }
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -8,6 +8,7 @@
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
 	"github.com/hickoryridge/hickoryridge/plain"
 	"github.com/hickoryridge/hickoryridge/receipt"
 	"github.com/hickoryridge/hickoryridge/router"
@@ -101,6 +102,9 @@
 
 // trySendOnce makes one attempt at one target. The returned target is empty if none was usable.
 func (d *Dispatcher) trySendOnce(ctx context.Context, p PlainRequest, avoid ident.TargetID, beforeSend func() error) (*plain.Response, ident.TargetID, error) {
+	if err := d.checkParts(p.parts()); err != nil {
+		return nil, "", err
+	}
 	assigned, err := d.choose(ctx, router.Request{Service: p.Service.Name, Avoid: avoid})
 	if err != nil {
 		return nil, "", err
@@ -108,21 +112,31 @@
 	defer assigned.Finish()
 	d.recordSent(assigned)
 	answer, err := d.cfg.Plain.SendOnce(ctx, assigned.Address, p.Request, beforeSend)
-	d.recordPlain(assigned, p, answer)
+	d.recordPlain(ctx, assigned, p, answer, err)
 	if fault.Is(err, fault.NoTarget) {
 		assigned.MarkFailed()
 	}
 	return answer, assigned.Choice.ID, err
 }
 
-// recordPlain records what an answer states about the target's rate limit. The answer is nil if there
-// was none.
-func (d *Dispatcher) recordPlain(a *Assignment, p PlainRequest, answer *plain.Response) {
-	if answer != nil {
+// recordPlain records what an attempt shows about its target: its rate limit, and whether the request
+// crashed it. The answer is nil if there was none.
+func (d *Dispatcher) recordPlain(ctx context.Context, a *Assignment, p PlainRequest, answer *plain.Response, err error) {
+	switch {
+	case answer != nil:
 		d.recordHead(a, p.Request.Method+" "+p.MatchPath, answer.Status, answer.Header)
+		d.recordBegun(a, p.parts())
+	case fault.ResponseOf(err).Ran != fault.RanNo && ctx.Err() == nil:
+		d.recordCrash(ctx, a, p.Request.Method+" "+p.MatchPath, p.parts(), false)
 	}
 }
 
+// parts returns what of the request may crash a target: all of it.
+func (p *PlainRequest) parts() []quarantine.Part {
+	name := digest(p.Request.Body, string(p.Info.Tenant.Name), p.Request.Method, p.Request.Path)
+	return suspectParts(p.Service.Name, nil, name)
+}
+
 func (d *Dispatcher) runWithReceipt(ctx context.Context, p PlainRequest, key ident.IdempotencyKey, keyTime state.UnixMillis) (*PlainResponse, error) {
 	open := state.OpenReceipt{
 		ID:      state.ReceiptID{Tenant: p.Info.Tenant.Name, Service: p.Service.Name, Key: key},
@@ -158,7 +172,7 @@
 			return &PlainResponse{Response: *answer}, nil
 		}
 		if id == "" || n == maxAttempts || ctx.Err() != nil {
-			return nil, err
+			return nil, ranBefore(n, err)
 		}
 		if !d.mayRetry(p.Service.Name) {
 			return nil, fault.Wrap(fault.RetryBudget, err)
@@ -168,7 +182,19 @@
 	}
 }
 
+// ranBefore marks the error of an attempt after the first one: whatever became of it, an attempt before it may
+// have run the request.
+func ranBefore(n int, err error) error {
+	if n == 1 {
+		return err
+	}
+	return fault.WithRan(err, fault.RanUnknown)
+}
+
 func (d *Dispatcher) trySendIdempotent(ctx context.Context, p PlainRequest, avoid ident.TargetID) (*plain.Response, ident.TargetID, error) {
+	if err := d.checkParts(p.parts()); err != nil {
+		return nil, "", err
+	}
 	assigned, err := d.choose(ctx, router.Request{Service: p.Service.Name, Avoid: avoid})
 	if err != nil && avoid != "" {
 		assigned, err = d.choose(ctx, router.Request{Service: p.Service.Name})
@@ -179,7 +205,7 @@
 	defer assigned.Finish()
 	d.recordSent(assigned)
 	answer, err := d.cfg.Plain.SendIdempotent(ctx, assigned.Address, p.Request)
-	d.recordPlain(assigned, p, answer)
+	d.recordPlain(ctx, assigned, p, answer, err)
 	if fault.Is(err, fault.TargetFailed) {
 		assigned.MarkFailed()
 	}
