link: an instance that is cut off from all targets connects to them through a voter

Cause: an instance connects to targets by itself only, and cannot tell its own link from theirs. Class: a fault of the observer that is put down to the observed.

Change: internal/target/link decides by a check (three targets, by itself and through a voter) whether the instance is cut off; peer.Connect carries the bytes of one connection through a voter, with a mark at the proper end of the target's bytes. Everything else is decided where it was. While failures may be those of the link they are not told to the placer and are no evidence against requests. Orders always go directly.

Evidence: TestCutOffInstanceServes with the relay taken out: 66 of 66 requests failed 4 s after the cut, both variants; passes now, with one loss and one return of the link.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -38,6 +38,7 @@
 	Plain      *plain.Client
 	Backend    Backend         // sends forwarded requests; nil if there are none
 	Placement  PlacementClient // chooses engines for forwarded requests; nil if this instance does
+	Doubtful   func() bool     // reports whether failures of targets may be those of this instance's link; nil if it is never known
 	Facts      *Facts          // shared with the other instances; nil if none are
 	Origins    StreamOrigins   // what began the streams of other instances; nil if it cannot be looked up
 	Receipts   *receipt.Runner
@@ -141,6 +142,9 @@
 	d.mu.Unlock()
 }
 
+// linkDoubtful reports whether failures of targets may be those of this instance's link.
+func (d *Dispatcher) linkDoubtful() bool { return d.cfg.Doubtful != nil && d.cfg.Doubtful() }
+
 // RequestInfo identifies the tenant, the class and the configuration of a request.
 type RequestInfo struct {
 	Tenant *desired.Tenant
--- a/dispatch/facts.go
+++ b/dispatch/facts.go
@@ -109,6 +109,13 @@
 	}
 }
 
+// CutOff forgets the crashes that are not reported yet: this instance has found itself cut off from targets.
+func (f *Facts) CutOff() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.memory.CutOff()
+}
+
 // began records that an answer of a target began on the given parts.
 func (f *Facts) began(now clock.Time, target ident.TargetID, parts []quarantine.Part) {
 	f.mu.Lock()
--- a/dispatch/facts_test.go
+++ b/dispatch/facts_test.go
@@ -13,6 +13,7 @@
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/stream"
+	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/router"
 )
 
@@ -297,3 +298,29 @@
 		t.Errorf("status %d, error %v, want a truncated answer", sink.status, err)
 	}
 }
+
+// TestCutOffInstanceAccusesNoTarget guards against a placer that takes targets out for the whole region, because an
+// instance that is cut off could not reach them.
+func TestCutOffInstanceAccusesNoTarget(t *testing.T) {
+	for name, doubtful := range map[string]bool{"cut off": true, "connected": false} {
+		t.Run(name, func(t *testing.T) {
+			for _, outcome := range []Outcome{NotRun{Reason: Unreachable, Err: errTruncated}, connectionReset} {
+				d := newFactsDispatcher(t, &scriptedBackend{crashed: true}, "")
+				d.cfg.Doubtful = func() bool { return doubtful }
+				r := &forwardRun{d: d, req: newForwardRequest(desired.ForwardRule{Attempts: 1}), parts: suspectParts("s", nil, "digest")}
+				a, err := d.cfg.Targets.Choose(clock.Now(), r.routeRequest(router.StageAny))
+				if err != nil {
+					t.Fatal(err)
+				}
+				accused := false
+				a.notify = func(n peer.Note) {
+					accused = accused || n.Event == peer.NoteUnreachable || n.Event == peer.NoteFailed
+				}
+				_, _ = r.handleFailure(t.Context(), a, outcome)
+				if accused == doubtful {
+					t.Errorf("%T: told the placer that the target fails: %v", outcome, accused)
+				}
+			}
+		})
+	}
+}
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -372,7 +372,7 @@
 		r.unreached++
 		r.cacheKept = true
 		if ctx.Err() == nil {
-			a.MarkUnreachable()
+			r.d.recordUnreachable(a)
 		}
 		return r.unreached < maxUnreachedTargets, err
 	case AddressReassigned:
@@ -389,6 +389,16 @@
 	}
 }
 
+// recordUnreachable records that no connection to a target could be opened. An instance that may be cut off
+// keeps that to itself: the placer would take the target out for the whole region.
+func (d *Dispatcher) recordUnreachable(a *Assignment) {
+	if d.linkDoubtful() {
+		a.MarkFailed()
+		return
+	}
+	a.MarkUnreachable()
+}
+
 // mayResend reports whether the rule allows a request that may have been executed to be sent again.
 func (r *forwardRun) mayResend() bool {
 	return r.req.Rule.Retry != desired.RetryNever && r.attemptsSent < r.req.Rule.MaxAttempts()
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -189,6 +189,14 @@
 	return r.Expires.Add(-min(r.Lease.AsDuration(), pool.table.MaxLease())), true
 }
 
+// Announces reports whether a target that is expected to run has announced an address.
+func (pool *TargetPool) Announces(addr string) bool {
+	now := pool.now()
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	return pool.table.Any(func(r *target.Record) bool { return r.Address == addr && now.Before(r.Expires) })
+}
+
 // RemoveExpired removes targets whose announcements stopped long ago.
 func (pool *TargetPool) RemoveExpired(now clock.Time) {
 	pool.mu.Lock()
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -89,7 +89,9 @@
 // recordBroken records that the target gave no complete answer, although the caller was still there.
 // head is set if the head of the answer arrived.
 func (r *forwardRun) recordBroken(ctx context.Context, a *Assignment, head bool, cause error) {
-	a.ReportAnswer(true)
+	if !r.d.linkDoubtful() {
+		a.ReportAnswer(true)
+	}
 	a.MarkFailed()
 	r.d.recordCrash(ctx, a, r.req.ID, r.parts, head)
 	r.d.cfg.Log.WithFields(logrus.Fields{
--- a/instance/duties.go
+++ b/instance/duties.go
@@ -293,6 +293,7 @@
 func (in *Instance) updateGauges(ctx context.Context) error {
 	return task.Every(ctx, gaugeInterval, func(context.Context) {
 		in.targetClient.Sweep(clock.Now())
+		in.directClient.Sweep(clock.Now())
 		running, waiting := in.dispatcher.Load()
 		in.metrics.Gauge("running", float64(running))
 		in.metrics.Gauge("waiting", float64(waiting))
@@ -302,7 +303,7 @@
 			in.metrics.Gauge("quarantined_parts", float64(len(in.factClient.facts.Quarantined(clock.Now()))))
 		}
 		in.metrics.Gauge("receipts_pending", float64(in.receipts.Pending()))
-		in.metrics.Gauge("target_connections_opened", float64(in.targetClient.Opened()))
+		in.metrics.Gauge("target_connections_opened", float64(in.targetClient.Opened()+in.directClient.Opened()))
 		for message, bytes := range in.network.SentBytes() {
 			in.metrics.Gauge("peer_sent_bytes_"+message, float64(bytes))
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -68,7 +68,9 @@
 	targetPool   *dispatch.TargetPool
 	engines      *engine.Client
 	plain        *plain.Client
-	targetClient *http1.Client // sends forwarded requests, and orders in the protocol of the platform
+	targetClient *http1.Client // sends forwarded requests
+	directClient *http1.Client // sends orders in the protocol of the platform, never through another instance
+	link         *linkClient   // opens the connections of targetClient
 	receipts     *receipt.Runner
 	dispatcher   *dispatch.Dispatcher
 	placerClient *placerClient    // nil if this instance selects targets itself
@@ -117,14 +119,16 @@
 	}
 	in.targetPool = dispatch.NewTargetPool(routing(s), in.gate, target.RunID(rand.Uint64()|1))
 	in.targetPool.SetMaxLease(s.TargetLease())
-	in.targetClient = http1.New(http1.Options{})
+	in.link = newLinkClient(in)
+	in.targetClient = http1.New(http1.Options{Dial: in.link.dial, Broken: in.link.broken})
+	in.directClient = http1.New(http1.Options{})
 	peers := map[ident.InstanceID]string{}
 	for _, p := range s.Peers {
 		peers[p.Instance] = p.Address
 	}
 	in.network = peer.NewNetwork(peer.Config{
 		Self: peer.Hello{Instance: s.Instance, Boot: boot}, Listen: in.listeners.peer,
-		Peers: peers, AcceptUnknown: len(s.Seeds) > 0, TLS: in.peerTLS(), Handler: in.handle, Log: in.log,
+		Peers: peers, AcceptUnknown: len(s.Seeds) > 0, TLS: in.peerTLS(), Handler: in.handle, Dial: in.dialForPeer, Log: in.log,
 	})
 	in.roster = &roster{self: s.Instance, network: in.network, voters: s.Voters()}
 	in.leader = &leaderClient{self: s.Instance, voters: in.roster.Voters, local: in.handle, call: in.network.Call}
@@ -145,7 +149,7 @@
 	in.dispatcher = dispatch.New(dispatch.Config{
 		Instance: s.Instance, Boot: boot, Gate: in.gate, Targets: in.targetPool, Engines: in.engines,
 		Plain: in.plain, Backend: &platform.Backend{Client: in.targetClient, Log: in.log}, Receipts: in.receipts, Metrics: in.metrics, Log: in.log, MaxRunning: s.RunningLimit(),
-		Placement: in.placing(), Facts: in.facts(), Origins: in.origins(),
+		Placement: in.placing(), Facts: in.facts(), Origins: in.origins(), Doubtful: in.link.doubtful,
 		Retries: admit.RetryLimit{Ratio: s.Retries.Ratio, Window: s.Retries.Window.AsDuration(), Slack: s.Retries.Slack},
 	})
 	if !s.Voter() {
@@ -287,6 +291,7 @@
 			g.Go("share", in.shareLoads)
 		}
 		g.Go("callers", in.serveCallers)
+		g.Go("link", in.link.watch)
 	}
 	if in.listeners.callers != nil || in.placer != nil {
 		g.Go("permits", in.acquirePermits)
@@ -335,6 +340,7 @@
 	in.engines.Close()
 	in.plain.Close()
 	in.targetClient.Close()
+	in.directClient.Close()
 	_ = in.metrics.Close() // the process ends, so unflushed counts are lost anyway
 	in.log.WithFields(logrus.Fields{"event": "stopped", "cause": err}).Info("stopped")
 	return err
@@ -357,7 +363,7 @@
 	defer ticker.Stop()
 	for {
 		running, waiting := in.dispatcher.Load()
-		if running+waiting+in.receipts.Pending() == 0 {
+		if running+waiting+in.receipts.Pending()+in.network.Carried() == 0 {
 			break
 		}
 		select {
--- a/instance/placing.go
+++ b/instance/placing.go
@@ -202,7 +202,7 @@
 // orderClient returns the client that sends orders to engines in the configured protocol.
 func (in *Instance) orderClient() leader.EngineClient {
 	if in.settings.Protocol == settings.ProtocolPlatform {
-		return &platform.OrderClient{Client: in.targetClient, Holder: in.settings.Instance}
+		return &platform.OrderClient{Client: in.directClient, Holder: in.settings.Instance}
 	}
 	return engine.OrderClient{Client: in.engines}
 }
--- a/instance/voter_test.go
+++ b/instance/voter_test.go
@@ -29,6 +29,12 @@
 }
 
 func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	return newClusterWith(t, discardLogger(), func(*Instance) {})
+}
+
+// newClusterWith is like newCluster with a logger, and calls prepare with each instance before it runs.
+func newClusterWith(t *testing.T, logger *logrus.Logger, prepare func(*Instance)) *cluster {
 	t.Helper()
 	var peers []settings.Peer
 	for i := range 3 {
@@ -46,10 +52,11 @@
 				s.Peers = append(s.Peers, other)
 			}
 		}
-		in, err := New(s, discardLogger())
+		in, err := New(s, logger)
 		if err != nil {
 			t.Fatal(err)
 		}
+		prepare(in)
 		c.instances = append(c.instances, in)
 		go func() { c.ended <- in.Run(ctx) }()
 	}
--- a/internal/cluster/quarantine/memory.go
+++ b/internal/cluster/quarantine/memory.go
@@ -137,6 +137,9 @@
 	m.held = m.held[max(0, len(m.held)-maxHeld):]
 }
 
+// CutOff forgets the crashes that are not reported yet. The targets were out of reach.
+func (m *Memory) CutOff() { m.held = nil }
+
 // release returns the reports of the held crashes that are shown to be some or have been held for long
 // enough.
 func (m *Memory) release(now clock.Time, shown func(held) bool) Report {
--- a/internal/net/tcp/tcp.go
+++ b/internal/net/tcp/tcp.go
@@ -48,10 +48,21 @@
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT. Accepted connections inherit it from their listener.
-func (o Options) setUserTimeout(c syscall.RawConn) error {
+func (o Options) setUserTimeout(c syscall.RawConn) error { return setUserTimeout(c, o.UserTimeout) }
+
+// SetUserTimeout changes the limit for unacknowledged data of an open connection.
+func SetUserTimeout(c *net.TCPConn, d time.Duration) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUserTimeout(raw, d)
+}
+
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
 	var optErr error
 	err := c.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.UserTimeout.Milliseconds()))
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/internal/target/http1/client.go
+++ b/internal/target/http1/client.go
@@ -28,6 +28,12 @@
 // Options configures a client. Zero values mean the defaults.
 type Options struct {
 	Connection tcp.Options
+	// Dial opens a connection to a target. If it is nil, connections are opened directly, with the
+	// options in Connection. A connection of another type than *net.TCPConn carries one request.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Broken is called with the address of a connection on which a request got no response, unless the
+	// context of the request had ended. It may be nil.
+	Broken func(addr string)
 	// IdleTimeout is how long an idle connection is kept if the target sends no Keep-Alive
 	// timeout.
 	IdleTimeout time.Duration
@@ -35,6 +41,9 @@
 	MaxIdlePerTarget int
 }
 
+// ConnectionOptions are the timeouts of connections to targets.
+var ConnectionOptions = defaults.Connection
+
 // defaults are the default values of Options.
 var defaults = Options{
 	Connection:       tcp.Options{DialTimeout: 600 * time.Millisecond, UserTimeout: 1500 * time.Millisecond, ProbeInterval: time.Second},
@@ -95,6 +104,9 @@
 	if o.Connection == (tcp.Options{}) {
 		o.Connection = defaults.Connection
 	}
+	if o.Dial == nil {
+		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return tcp.Dial(ctx, addr, o.Connection) }
+	}
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = defaults.IdleTimeout
 	}
@@ -183,6 +195,10 @@
 // putIdle returns a connection to the pool for at most the given time, or closes it if the
 // pool is full.
 func (c *Client) putIdle(cn *conn, idle time.Duration) {
+	if !cn.reusable() {
+		cn.close()
+		return
+	}
 	cn.expires = clock.Now().Add(idle)
 	c.mu.Lock()
 	full := len(c.idle[cn.addr]) >= c.opts.MaxIdlePerTarget
@@ -215,14 +231,14 @@
 
 // open opens a connection to addr.
 func (c *Client) open(ctx context.Context, addr string) (*conn, error) {
-	nc, err := tcp.Dial(ctx, addr, c.opts.Connection)
+	nc, err := c.opts.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
-	return newConn(addr, nc.(*net.TCPConn)), nil
+	return newConn(addr, nc), nil
 }
 
 // Do sends a request and returns its response, which must be closed. Cancelling ctx aborts
@@ -243,6 +259,9 @@
 	if err != nil {
 		x.stopWatch()
 		cn.close()
+		if c.opts.Broken != nil && ctx.Err() == nil {
+			c.opts.Broken(addr)
+		}
 		return nil, &NoResponseError{err}
 	}
 	return response, nil
--- a/internal/target/http1/conn.go
+++ b/internal/target/http1/conn.go
@@ -15,15 +15,15 @@
 // conn is a connection to a target.
 type conn struct {
 	addr    string
-	tcp     *net.TCPConn
+	net     net.Conn
 	head    *headReader
 	r       *bufio.Reader // reads from head
 	expires clock.Time    // end of the idle timeout, while the connection is idle
 }
 
-func newConn(addr string, c *net.TCPConn) *conn {
+func newConn(addr string, c net.Conn) *conn {
 	head := &headReader{r: c, remaining: unbounded}
-	return &conn{addr: addr, tcp: c, head: head, r: bufio.NewReaderSize(head, readBufferBytes)}
+	return &conn{addr: addr, net: c, head: head, r: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
 // maxHeadBytes limits the bytes before a response body, because a faulty target may send
@@ -56,15 +56,23 @@
 }
 
 // close closes the connection. The target aborts the request in progress, if any.
-func (c *conn) close() { _ = c.tcp.Close() } // the connection is not used again
+func (c *conn) close() { _ = c.net.Close() } // the connection is not used again
+
+// reusable reports whether the connection may carry another request. Only on a TCP connection to the
+// target itself can be seen what has arrived in the meantime.
+func (c *conn) reusable() bool {
+	_, ok := c.net.(*net.TCPConn)
+	return ok
+}
 
 // stillIdle reports whether nothing has arrived since the last response: no byte, no end of
 // the stream and no reset.
 func (c *conn) stillIdle() bool {
-	if c.r.Buffered() > 0 {
+	direct, ok := c.net.(*net.TCPConn)
+	if !ok || c.r.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.tcp.SyscallConn()
+	raw, err := direct.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/target/http1/exchange.go
+++ b/internal/target/http1/exchange.go
@@ -52,13 +52,13 @@
 func (x *exchange) run() (*Response, error) {
 	wire := encode(x.request)
 	if len(wire) <= maxInlineBytes {
-		if _, err := x.conn.tcp.Write(wire); err != nil {
+		if _, err := x.conn.net.Write(wire); err != nil {
 			return nil, err
 		}
 	} else {
 		x.written = make(chan error, 1)
 		go func() {
-			_, err := x.conn.tcp.Write(wire)
+			_, err := x.conn.net.Write(wire)
 			x.written <- err
 		}()
 	}
--- a/peer/accept.go
+++ b/peer/accept.go
@@ -90,6 +90,9 @@
 		if err != nil {
 			return err
 		}
+		if request, ok := e.Body.(*Connect); ok {
+			return in.carry(ctx, r, e.CallID, request)
+		}
 		if e.CallID == 0 {
 			_, _ = in.n.cfg.Handler(ctx, in.peer, e.Body) // a message without a call ID gets no reply
 			continue
--- a/peer/message.go
+++ b/peer/message.go
@@ -57,6 +57,7 @@
 	kindRelayed
 	kindFindStream
 	kindStreamFound
+	kindConnect
 	kindCount // number of kinds, including the unused 0
 )
 
@@ -353,6 +354,8 @@
 		return &FindStream{}
 	case kindStreamFound:
 		return &StreamFound{}
+	case kindConnect:
+		return &Connect{}
 	default:
 		return nil
 	}
--- a/peer/network.go
+++ b/peer/network.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -47,6 +48,7 @@
 	AcceptUnknown bool                        // accept connections from instances that are not peers
 	TLS           *tls.Config                 // nil for plain TCP
 	Handler       Handler
+	Dial          Dialer // opens connections to targets for other instances; nil to carry none
 	Log           *logrus.Entry
 }
 
@@ -54,6 +56,7 @@
 type Network struct {
 	cfg     Config
 	traffic traffic
+	carried atomic.Int64 // connections to targets that are carried for other instances
 
 	mu    sync.RWMutex
 	links map[ident.InstanceID]*link
