http1: a response without an id on a connection that was used before is not taken for the current one's

Reported by operators of systems like ours: a faulty replica wrote an earlier refusal once more on a kept connection; callers were told "not run, try again" for requests that ran.

It could happen here: a refusal with the id of another request was skipped, one without an id was believed on any connection.

--- a/internal/target/http1/client.go
+++ b/internal/target/http1/client.go
@@ -64,9 +64,10 @@
 	Header http.Header
 	Body   []byte
 	// Matches reports whether a response with the given header belongs to this request. One
-	// that does not is late or a duplicate, and is skipped. If Matches is nil, every
-	// response is accepted.
-	Matches func(http.Header) bool
+	// that does not is late or a duplicate, and is skipped. first is set if the connection has
+	// carried no request before, so that it cannot be the response to another one. If Matches is
+	// nil, every response is accepted.
+	Matches func(h http.Header, first bool) bool
 }
 
 // NotSentError reports that no byte of a request was sent, so that the target cannot have
--- a/internal/target/http1/client_test.go
+++ b/internal/target/http1/client_test.go
@@ -97,7 +97,7 @@
 func newRequest(id string) *Request {
 	return &Request{
 		Method: http.MethodPost, URI: "/a?b=c", Host: "host.example", Header: http.Header{"Id": {id}}, Body: []byte("body"),
-		Matches: func(h http.Header) bool { return h.Get("Id") == id },
+		Matches: func(h http.Header, _ bool) bool { return h.Get("Id") == id },
 	}
 }
 
--- a/internal/target/http1/conn.go
+++ b/internal/target/http1/conn.go
@@ -19,6 +19,7 @@
 	head    *headReader
 	r       *bufio.Reader // reads from head
 	expires clock.Time    // end of the idle timeout, while the connection is idle
+	used    bool          // has carried a request before the current one
 }
 
 func newConn(addr string, c net.Conn) *conn {
--- a/internal/target/http1/exchange.go
+++ b/internal/target/http1/exchange.go
@@ -83,7 +83,7 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		if x.request.Matches == nil || x.request.Matches(resp.Header) {
+		if x.request.Matches == nil || x.request.Matches(resp.Header, !x.conn.used) {
 			return resp, nil
 		}
 		x.conn.head.remaining = unbounded
@@ -124,6 +124,7 @@
 		x.conn.close()
 		return nil
 	}
+	x.conn.used = true
 	x.client.putIdle(x.conn, r.idleTimeout())
 	return nil
 }
