streams: taken up at the only known version only if every voter replied

It could happen here: an instance that is cut off together with one voter got "one version only" from that voter, ignored that the others did not reply, and went on at that version; the record of the stream and the new replicas were known to the others. Now a voter that does not reply means that the origin is not known: refused with Retry-After, which was so already when none replied. Cost: a stream whose record is lost is not taken up while a voter is down.

--- a/instance/streams.go
+++ b/instance/streams.go
@@ -36,47 +36,60 @@
 	return c.findAtAll(ctx, request)
 }
 
-// findAtAll asks all voters at once. It returns an error if none replied. Without any
-// record, the stream goes on at the only version of the service, unless one voter has seen more.
+// findAtAll asks all voters at once.
 func (c *factClient) findAtAll(ctx context.Context, request *peer.FindStream) (stream.Origin, bool, error) {
-	type result struct {
-		found *peer.StreamFound
-		err   error
-	}
 	voters := c.in.roster.Voters()
-	results := make(chan result, len(voters))
+	results := make(chan findResult, len(voters))
 	for _, id := range voters {
 		go func() {
 			found, err := c.findAt(ctx, id, request)
-			results <- result{found, err}
+			results <- findResult{found, err}
 		}()
 	}
-	err := fault.New(fault.NoQuorum, "no voter has been found yet")
-	replied, several := false, false
-	var sole *peer.StreamFound
+	var all []findResult
 	for range voters {
 		r := <-results
+		all = append(all, r)
+		if r.err == nil && r.found.Known {
+			break
+		}
+	}
+	return originOf(all)
+}
+
+// findResult is what one voter replied.
+type findResult struct {
+	found *peer.StreamFound
+	err   error
+}
+
+// originOf returns what began a stream by the replies of all voters. Without any record, the stream goes on at the
+// only version of the service, unless one voter has seen more, or did not reply: it may have the record, and
+// know the version, while the others are out of step. It returns an error if that is why the origin is not known.
+func originOf(all []findResult) (stream.Origin, bool, error) {
+	err := error(nil)
+	if len(all) == 0 {
+		err = fault.New(fault.NoQuorum, "no voter has been found yet")
+	}
+	several := false
+	var sole *peer.StreamFound
+	for _, r := range all {
 		switch {
 		case r.err != nil:
 			err = r.err
 		case r.found.Known:
 			return r.found.Origin, true, nil
 		default:
-			replied = true
 			several = several || r.found.Several
 			if r.found.Sole {
 				sole = r.found
 			}
 		}
 	}
-	switch {
-	case sole != nil && !several:
+	if err == nil && sole != nil && !several {
 		return sole.Origin, true, nil
-	case replied:
-		return stream.Origin{}, false, nil
-	default:
-		return stream.Origin{}, false, err
 	}
+	return stream.Origin{}, false, err
 }
 
 func (c *factClient) findAt(ctx context.Context, voter ident.InstanceID, request *peer.FindStream) (*peer.StreamFound, error) {
