announcements: ports out of range, and slots that no target has, are refused

Reported by operators of systems like ours: one odd entry among the replicas, very deeply nested, with a number too large or with a port out of range, ended the machines that read the list, or stopped them from following it.

--- a/target/announce.go
+++ b/target/announce.go
@@ -13,6 +13,7 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/desired"
@@ -32,6 +33,8 @@
 	MaxLease = 2500 * time.Millisecond
 	// MaxAnnouncement is the size limit of an announcement in bytes.
 	MaxAnnouncement = 1 << 20
+	// MaxSlots is the largest number of requests that a target may say it processes at once.
+	MaxSlots = 1 << 20
 	// maxCacheEvents is the number of cache events that the table retains per target.
 	maxCacheEvents = 256
 )
@@ -106,6 +109,16 @@
 	return a, a.validate()
 }
 
+// ValidAddress reports whether an address is a host with a port that can be connected to.
+func ValidAddress(addr string) bool {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || host == "" {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
+
 func (a Announcement) validate() strictjson.Faults {
 	var fs strictjson.Faults
 	required := []struct{ path, value string }{
@@ -116,7 +129,7 @@
 			fs.Add(f.path, "is empty")
 		}
 	}
-	if _, _, err := net.SplitHostPort(a.Address); err != nil {
+	if !ValidAddress(a.Address) {
 		fs.Add("$.address", "want host:port, not %q", a.Address)
 	}
 	if a.Incarnation == 0 {
@@ -128,6 +141,9 @@
 	if d := time.Duration(a.Lease); !a.Leaving && (d <= 0 || d > MaxLease) {
 		fs.Add("$.lease", "want more than 0s and at most %v, not %v", MaxLease, d)
 	}
+	if a.Load.Slots > MaxSlots {
+		fs.Add("$.load.slots", "want at most %d, not %d", MaxSlots, a.Load.Slots)
+	}
 	if a.Load.Waiting < 0 || a.Load.Running < 0 || a.Load.Slots < 0 || a.Load.Prefill < 0 || a.Load.Decode < 0 {
 		fs.Add("$.load", "must not contain negative values")
 	}
