freeport: no process is started while a port is tried

Cause: to try a port, it is listened on and closed. A process that another goroutine starts just then has, between fork and exec, a copy of the socket, so the port is not free for some milliseconds, longer beside load.

Change: syscall.ForkLock is held for reading while a port is tried.

--- a/internal/net/freeport/freeport.go
+++ b/internal/net/freeport/freeport.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"golang.org/x/sys/unix"
@@ -76,8 +77,11 @@
 	return nil, fmt.Errorf("locking the file of port %d: %w", port, err)
 }
 
-// free reports whether nothing listens on an address.
+// free reports whether nothing listens on an address. No process is started meanwhile: between fork and
+// exec it would have a copy of the socket, and the address would not be free once this one is closed.
 func free(addr string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return false
--- a/internal/net/freeport/freeport_test.go
+++ b/internal/net/freeport/freeport_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/exec"
 	"strings"
+	"sync"
 	"testing"
 )
 
@@ -99,3 +102,26 @@
 		t.Errorf("given %s after the test ended, want %s again", third, first)
 	}
 }
+
+// TestAddressBesideProcessStarts guards against an address that a process which is being started still has: between
+// fork and exec it holds copies of all sockets, also of the one that tried the port.
+func TestAddressBesideProcessStarts(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				_ = exec.Command(os.Args[0], "-test.run=^$").Run() // its start matters, not its end
+			}
+		})
+	}
+	defer wg.Wait()
+	defer cancel()
+	for range 4000 {
+		l, err := net.Listen("tcp", Address(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = l.Close()
+	}
+}
