http1: an answer survives a target that is silent for a second or so

Connections to targets had 1.5 s with probes each second: a slow stream whose target missed one probe was cut at the next, 2 s after its last byte, though the target ran again. Now 2.5 s, so that two probes fit in. Shorter probe intervals do not help: the system counts them in whole seconds (tried: 0.5 s and 2 s, cut at 2.04 s as before).

Cost: requests in progress at a target that goes dark are held 2.5 s, not 1.5 s.

--- a/internal/target/http1/client.go
+++ b/internal/target/http1/client.go
@@ -44,9 +44,11 @@
 // ConnectionOptions are the timeouts of connections to targets.
 var ConnectionOptions = defaults.Connection
 
-// defaults are the default values of Options.
+// defaults are the default values of Options. A target may fall silent for a second or so and go on. The user
+// timeout decides when unanswered probes end a connection, whatever their number: at the first probe that is due
+// after it. So two probes fit into it.
 var defaults = Options{
-	Connection:       tcp.Options{DialTimeout: 600 * time.Millisecond, UserTimeout: 1500 * time.Millisecond, ProbeInterval: time.Second},
+	Connection:       tcp.Options{DialTimeout: 600 * time.Millisecond, UserTimeout: 2500 * time.Millisecond, ProbeInterval: time.Second},
 	IdleTimeout:      4 * time.Second,
 	MaxIdlePerTarget: 32,
 }
