quarantine: requests that were at one crashed target are no suspects, and an outage leaves room

Found while reading the change again: every request at a crashed target is evidence by its digest. An outage of a failure domain would have filled the 4,096 parts that are kept, and the 64 suspects that instances hear of, with requests that crash nothing: answers on shared parts not reported, deadly ones not recorded for two minutes.

Whole requests have a bound of their own, those with a single crash go after 10 s once half of it is used, and a request is a suspect from its second crash on, from which its evidence settles.

--- a/internal/cluster/quarantine/evidence.go
+++ b/internal/cluster/quarantine/evidence.go
@@ -14,6 +14,7 @@
 // Evidence adds up what all instances report. Use NewEvidence. It is not safe for concurrent use.
 type Evidence struct {
 	parts    map[Part]*record
+	whole    int                         // number of whole requests among the parts
 	released map[releasedPart]clock.Time // when the operator released it
 }
 
@@ -23,6 +24,7 @@
 	answers map[ident.InstanceID]answers
 	depth   int
 	known   clock.Time // when this voter heard of the first crash, however old it was
+	second  clock.Time // when it heard of the second
 }
 
 type crash struct {
@@ -96,6 +98,8 @@
 	}
 	if seen {
 		at = min(at, known.at)
+	} else if len(r.crashes) == 1 {
+		r.second = now
 	}
 	r.crashes[c.Crash] = crash{at, max(c.Sent, known.sent), max(weight, known.weight)}
 }
@@ -103,13 +107,25 @@
 // record returns the record of a part, which it creates if necessary, or nil if there are too many.
 func (e *Evidence) record(p Part) *record {
 	r := e.parts[p]
-	if r == nil && len(e.parts) < maxParts {
-		r = &record{crashes: map[Crash]crash{}, answers: map[ident.InstanceID]answers{}}
-		e.parts[p] = r
+	if r != nil || e.full(p.Whole) {
+		return r
+	}
+	r = &record{crashes: map[Crash]crash{}, answers: map[ident.InstanceID]answers{}}
+	e.parts[p] = r
+	if p.Whole {
+		e.whole++
 	}
 	return r
 }
 
+// full reports whether there are too many whole requests, or too many other parts.
+func (e *Evidence) full(whole bool) bool {
+	if whole {
+		return e.whole >= maxWhole
+	}
+	return len(e.parts)-e.whole >= maxParts
+}
+
 // addAnswers records answers, also before the report of the crash that they are reported for.
 func (e *Evidence) addAnswers(at clock.Time, a Answered) {
 	r := e.record(a.Part)
@@ -143,15 +159,24 @@
 
 // Expire removes evidence that no longer counts.
 func (e *Evidence) Expire(now clock.Time) {
+	crowded := e.whole > maxWhole/2
 	for part, r := range e.parts {
 		r.expire(now.Add(-EvidenceTime))
-		if len(r.crashes)+len(r.answers) == 0 {
-			delete(e.parts, part)
+		single := crowded && part.Whole && len(r.crashes) < 2 && now.Sub(r.known) > singleTime
+		if single || len(r.crashes)+len(r.answers) == 0 {
+			e.remove(part)
 		}
 	}
 	maps.DeleteFunc(e.released, func(_ releasedPart, at clock.Time) bool { return now.Sub(at) > EvidenceTime })
 }
 
+func (e *Evidence) remove(p Part) {
+	delete(e.parts, p)
+	if p.Whole {
+		e.whole--
+	}
+}
+
 // expire removes the evidence up to a time.
 func (r *record) expire(until clock.Time) {
 	maps.DeleteFunc(r.crashes, func(_ Crash, c crash) bool { return c.at <= until })
@@ -219,10 +244,13 @@
 	return refuted
 }
 
-// candidates returns all parts, those with the most evidence against them first.
+// candidates returns the parts that may be suspects, those with the most evidence against them first.
 func (e *Evidence) candidates(refuted map[Crash]bool) []candidate {
 	var all []candidate
 	for part, r := range e.parts {
+		if part.Whole && len(r.crashes) < 2 {
+			continue
+		}
 		all = append(all, candidate{part: part, record: r, score: r.score(refuted), answers: r.answerCount()})
 	}
 	slices.SortFunc(all, func(a, b candidate) int { return compareCandidates(b, a) })
@@ -281,13 +309,21 @@
 		last = max(last, k.at)
 	}
 	s := Suspect{Part: c.part, Crashes: len(c.record.crashes), Answers: c.answers, Until: desired.Duration(last.Add(EvidenceTime).Sub(now))}
-	s.Quarantined = c.net() >= threshold && now.Sub(c.record.known) >= settleTime
+	s.Quarantined = c.net() >= threshold && now.Sub(c.suspectSince()) >= settleTime
 	if s.Quarantined {
 		s.Proof = c.record.proof(now, c.part)
 	}
 	return s
 }
 
+// suspectSince returns when this voter first had reason to list the part.
+func (c candidate) suspectSince() clock.Time {
+	if c.part.Whole {
+		return c.record.second
+	}
+	return c.record.known
+}
+
 // proof returns the last crashes of a part.
 func (r *record) proof(now clock.Time, p Part) []Crashed {
 	var all []Crashed
--- a/internal/cluster/quarantine/quarantine.go
+++ b/internal/cluster/quarantine/quarantine.go
@@ -16,7 +16,8 @@
 // A request may crash targets by something that is in no part that others share, or have no prompt
 // at all. So the whole request is a suspect too, named by a digest of its content, which its callers'
 // retries have as well. It counts as the last of its parts, since nothing is more specific, and a
-// single answer clears it: the same request does the same again.
+// single answer clears it: the same request does the same again. It is no suspect before its second
+// crash, or every request that was at a crashed target would be one.
 //
 // Crashes at the same moment count once for a part, because an outage that no request causes hits
 // many engines. The crash of a target to which the request was sent after the crash before, as a retry
@@ -57,6 +58,9 @@
 	// crashSpan is the time within which crashes count once for a part if all requests had been sent
 	// before the first one.
 	crashSpan = 50 * time.Millisecond
+	// singleTime is the time for which a whole request with a single crash is kept once half of maxWhole are
+	// kept. Most of them were at a target by chance.
+	singleTime = 10 * time.Second
 	// announceMargin is how much later than a crash an announcement must have come to show that there was
 	// none. An announcement may be in flight when its target crashes.
 	announceMargin = 500 * time.Millisecond
@@ -74,6 +78,7 @@
 // Bounds of what is kept.
 const (
 	maxParts          = 4096
+	maxWhole          = 16384 // whole requests, of which an outage leaves one for each request at its targets
 	maxCrashesPerPart = 64
 	maxSuspects       = 64 // besides those in quarantine
 	maxProof          = 8  // crashes that go out with a quarantine; some may have come at the same moment
--- a/internal/cluster/quarantine/quarantine_test.go
+++ b/internal/cluster/quarantine/quarantine_test.go
@@ -356,3 +356,46 @@
 		t.Errorf("the quarantine ends in %v, before the voters started in %v", b.AsDuration(), a.AsDuration())
 	}
 }
+
+// TestOutageLeavesRoom guards against an outage that ends hundreds of engines with thousands of requests, after
+// which nothing is recorded about the part and the request that crash targets, or answers on shared parts are not
+// reported because the requests fill the list of suspects.
+func TestOutageLeavesRoom(t *testing.T) {
+	e := NewEvidence()
+	now := start
+	for engine := range 400 {
+		for n := range 48 {
+			e.Add(now.Add(time.Duration(engine)*time.Millisecond), requestOf(crashOf(fmt.Sprint("t", engine), true, "shared", fmt.Sprint("second", n%50), fmt.Sprint("r", engine, "-", n))))
+		}
+	}
+	if e.whole > maxWhole || len(e.parts)-e.whole > maxParts {
+		t.Fatalf("%d whole requests and %d other parts kept", e.whole, len(e.parts)-e.whole)
+	}
+	suspects := e.Suspects(now.Add(time.Second), silent)
+	if !slices.ContainsFunc(suspects, func(s Suspect) bool { return s.Part == part("shared") }) {
+		t.Error("the shared part is not listed")
+	}
+	for _, s := range suspects {
+		if s.Part.Whole {
+			t.Fatalf("a request that was at one engine is listed: %+v", s)
+		}
+	}
+	e.Add(now.Add(time.Second), answersOn("i", 1000, "shared"))
+	for n := range 50 {
+		e.Add(now.Add(time.Second), answersOn("i", 1000, fmt.Sprint("second", n)))
+	}
+	e.Expire(now.Add(singleTime + 2*time.Second))
+	later := now.Add(singleTime + 3*time.Second)
+	for n := range 3 {
+		at := later.Add(time.Duration(n) * 400 * time.Millisecond)
+		e.Add(at, requestOf(crashOf(fmt.Sprint("d", n), false, "deadly")))
+		e.Add(at, crashOf(fmt.Sprint("p", n), true, "shared", "dead"))
+	}
+	if got := quarantinedIDs(e.Suspects(later.Add(2*time.Second), silent)); !slices.Equal(got, []string{"dead", "deadly"}) {
+		t.Errorf("in quarantine %v, want the deadly part and the deadly request", got)
+	}
+	e.Expire(later.Add(2 * EvidenceTime))
+	if e.whole != 0 || len(e.parts) != 0 {
+		t.Errorf("%d whole requests counted, %d parts left, want none", e.whole, len(e.parts))
+	}
+}
