--- a/admit/retries.go
+++ b/admit/retries.go
@@ -28,7 +28,7 @@
 // equal share of the slack, so that the sum over the instances stays within the limit without
 // communication.
 //
-// An instance that has started does not know its retries before, and may be told too small a number
+// An instance that has started has no record of its retries before, and may receive too small a number
 // of instances while they all start. It has no share of the slack for the length of one window.
 type RetryLimiter struct {
 	limit    RetryLimit
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -61,7 +61,7 @@
 // PermitsWanted returns the channel that signals that a request for permits may be due.
 func (pool *TargetPool) PermitsWanted() <-chan struct{} { return pool.permitsWanted }
 
-// LimitsUnreported reports whether there are limits that the leader is not known to know.
+// LimitsUnreported reports whether there are limits that the leader has not confirmed.
 func (pool *TargetPool) LimitsUnreported() bool {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
@@ -137,7 +137,7 @@
 	return changed
 }
 
-// reviewLimits updates the router after limits have changed, and signals if the leader has to know.
+// reviewLimits updates the router after limits have changed, and signals if they are to be reported to the leader.
 // pool.mu is held.
 func (pool *TargetPool) reviewLimits(now clock.Time, changed []permit.ChangedLimit) {
 	for _, c := range changed {
@@ -154,7 +154,7 @@
 	return r.Incarnation
 }
 
-// Limits returns the rate limits of targets that this instance knows.
+// Limits returns the rate limits of targets that this instance has a record of.
 func (pool *TargetPool) Limits() []permit.Limit {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -48,7 +48,7 @@
 	a, err := d.cfg.Targets.Assign(clock.Now(), req, placed)
 	if err != nil {
 		if rate, limited := d.cfg.Targets.RateLimit(placed.Target); limited {
-			notify(peer.Note{Event: peer.NoteLimited, Rate: &rate}) // the placer did not know
+			notify(peer.Note{Event: peer.NoteLimited, Rate: &rate}) // the placer had no record of it
 		}
 		notify(peer.Note{Event: peer.NoteWithdrawn})
 		return d.choose(ctx, req)
--- a/dispatch/statements.go
+++ b/dispatch/statements.go
@@ -51,7 +51,7 @@
 	return changed
 }
 
-// notifyLimit passes a statement on to the placer that chose the target, if the placer has to know.
+// notifyLimit passes a statement on to the placer that chose the target, if it is new to the placer.
 func (a *Assignment) notifyLimit(s permit.Statement) {
 	if a.notify == nil {
 		return
--- a/instance/permits.go
+++ b/instance/permits.go
@@ -16,7 +16,7 @@
 	// acquireTimeout bounds a request for permits, which are valid for permit.PermitTime from its
 	// start.
 	acquireTimeout = 400 * time.Millisecond
-	// reportRetryInterval is the interval at which limits are reported until the leader knows them.
+	// reportRetryInterval is the interval at which limits are reported until the leader confirms them.
 	reportRetryInterval = 100 * time.Millisecond
 )
 
--- a/instance/streams.go
+++ b/instance/streams.go
@@ -65,7 +65,7 @@
 
 // originOf returns what began a stream by the replies of all voters. Without any record, the stream goes on at the
 // only version of the service, unless one voter has seen more, or did not reply: it may have the record, and
-// know the version, while the others are out of step. It returns an error if that is why the origin is not known.
+// targets of that version, while the others are out of step. It returns an error if that is why the origin is not known.
 func originOf(all []findResult) (stream.Origin, bool, error) {
 	err := error(nil)
 	if len(all) == 0 {
--- a/internal/cluster/permit/allocator.go
+++ b/internal/cluster/permit/allocator.go
@@ -151,10 +151,10 @@
 }
 
 // unknownTargetTime is the time for which the limit of a target is kept that the leader does not
-// know. A voter that has just started does not know all targets yet.
+// have. A voter that has just started does not have all targets yet.
 const unknownTargetTime = 1 * time.Minute
 
-// DropStale removes the limits of targets that have started again since or are gone. current returns
+// DropStale removes the limits of targets that have started again since or have left. current returns
 // the incarnation of a target, or 0 if the target is unknown.
 func (a *Allocator) DropStale(now clock.Time, current func(ident.TargetID) ident.Incarnation) {
 	for id, b := range a.byTarget {
--- a/internal/cluster/permit/limits.go
+++ b/internal/cluster/permit/limits.go
@@ -15,12 +15,12 @@
 	// unused leaves the permits to others. It doubles with each unused permit.
 	minUnusedPause = 250 * time.Millisecond
 	maxUnusedPause = 4 * time.Second
-	// endRetention is the time for which the end of a limit is kept after the allocator knows it,
+	// endRetention is the time for which the end of a limit is kept after the allocator has confirmed it,
 	// which is longer than any reply may be delayed.
 	endRetention = 5 * time.Second
 )
 
-// Limits holds the limits that one instance knows and the permits that it has. Use NewLimits. It is
+// Limits holds the limits that one instance has received and the permits that it has. Use NewLimits. It is
 // not safe for concurrent use.
 type Limits struct {
 	byTarget map[ident.TargetID]*limit
@@ -31,12 +31,12 @@
 	kept bool
 }
 
-// limit is a Limit with what this instance knows of it.
+// limit is a Limit with this instance's record of it.
 type limit struct {
 	Limit
 	learnedAt clock.Time // when this instance learned of the limit or of its rate
 	namedAt   clock.Time // when the target last named it to this instance; 0 if never
-	// run is the allocator that knows the limit, as of a request sent at knownAt; 0 if none is
+	// run is the allocator that has the limit, as of a request sent at knownAt; 0 if none is
 	// known to.
 	run     uint32
 	knownAt clock.Time
@@ -55,7 +55,7 @@
 type end struct {
 	Limit
 	sentAt clock.Time // when the request was sent whose answer named no limit
-	// knownAt is when the request was sent by which the allocator knows it; 0 if none was yet.
+	// knownAt is when the request was sent by which the allocator received it; 0 if none was yet.
 	knownAt clock.Time
 }
 
@@ -124,7 +124,7 @@
 	return known.Rate, true
 }
 
-// Unreported reports whether there is a limit or an end that the allocator is not known to know.
+// Unreported reports whether there is a limit or an end that the allocator has not confirmed.
 func (l *Limits) Unreported() bool {
 	if !l.kept {
 		return false
@@ -178,7 +178,7 @@
 		return Unchanged
 	}
 	if e := l.ends[listed.Target]; e != nil && e.Incarnation >= listed.Incarnation && (e.knownAt == 0 || requestedAt.Before(e.knownAt)) {
-		return Unchanged // the allocator did not know the end yet
+		return Unchanged // the allocator had not received the end yet
 	}
 	known := l.byTarget[listed.Target]
 	change := Unchanged
@@ -189,7 +189,7 @@
 		known = l.add(now, listed)
 		change = Began
 	case known.Rate != listed.Rate && known.namedAt.After(requestedAt):
-		return Unchanged // this instance knows better, and reports it
+		return Unchanged // this instance has newer evidence, and reports it
 	default:
 		change = known.setRate(now, listed.Rate)
 	}
--- a/internal/cluster/permit/permit.go
+++ b/internal/cluster/permit/permit.go
@@ -1,12 +1,12 @@
 // Package permit keeps the requests that a target receives from all instances together within the
 // rate limit that the target names in its answers.
 //
-// A target in need names a rate, and an instance that sees it knows only its own requests. A fixed
+// A target in need names a rate, and an instance that receives it counts only its own requests. A fixed
 // share for each instance does not work at either end: of 8 requests per second, six instances
 // with uneven load waste theirs, and of 300 instances each may send one at the same moment. One
 // allocator, which the leader of the quorum runs, therefore grants permits at the named rate. A
 // permit allows one request to one target, within PermitTime of the moment at which the instance
-// asked for it. An instance that knows of a limit sends nothing to the target without a permit,
+// asked for it. An instance with a record of a limit sends nothing to the target without a permit,
 // whether the request is new, repeated, resumed or processes a prompt only.
 //
 // In any time W the target gets at most rate x (W + PermitTime) requests and one burst, because
@@ -15,11 +15,16 @@
 //
 // Limits spread in three ways: the instance that sees an answer applies it at once; it reports new
 // limits and ends to the allocator; and the allocator's reply to any request lists all limits. An
-// instance that has just started thus knows them before it serves. Every answer tells the truth
+// instance that has just started thus has them before it serves. Every answer states the truth
 // again, so a stale record lasts until the next answer only.
 //
 // While the leader runs an earlier version, limits are observed and not kept.
 //
+// From an answer's header to a grant: dispatch/statements.go parses the header and records it in Limits,
+// instance/permits.go reports it to the leader, leader/limits.go passes it to the Allocator and replies
+// with permits, dispatch/permits.go takes one for each request, and in dispatch/limiting.go requests
+// without one wait.
+//
 // Limits is the part of an instance, Allocator that of the leader. Neither holds a lock or reads a
 // clock: the caller serializes access and passes the time.
 package permit
@@ -47,7 +52,7 @@
 	Rate        ident.RequestsPerSecond `json:"rate" msgpack:"rate"` // from all instances together
 }
 
-// Observation is what one instance knows of a limit, and the permits that it wants.
+// Observation is one instance's record of a limit, and the permits that it wants.
 type Observation struct {
 	Limit Limit `msgpack:"limit"`
 	// Age is the time since the target last named the limit to the instance. For an ended limit it
@@ -71,7 +76,7 @@
 	RetryAfter time.Duration `msgpack:"back"`
 }
 
-// Snapshot lists all limits that an allocator knows.
+// Snapshot lists all limits that an allocator has.
 type Snapshot struct {
 	Run    uint32  `msgpack:"run"` // of the allocator; 0 means that there is no snapshot
 	Limits []Limit `msgpack:"limits"`
--- a/internal/net/fields/fields.go
+++ b/internal/net/fields/fields.go
@@ -1,6 +1,6 @@
 // Package fields encodes structures that instances send each other as arrays of their fields.
 //
-// An instance of an earlier version refuses an array with more fields than it knows. Fields that were
+// An instance of an earlier version refuses an array with more fields than it defines. Fields that were
 // added later are therefore optional: they stand last and are left out where all of them are zero.
 package fields
 
--- a/internal/target/link/link.go
+++ b/internal/target/link/link.go
@@ -1,4 +1,4 @@
-// Package link tells whether this instance is cut off from all targets, or targets are down.
+// Package link distinguishes an instance that is cut off from all targets from targets that are down.
 //
 // An instance that cannot open connections sees the same in both cases. So once several targets have
 // failed and none could be connected to since, the instance checks: it opens connections to a few
--- a/leader/limits.go
+++ b/leader/limits.go
@@ -12,7 +12,7 @@
 )
 
 // newAllocator returns an allocator of permits. Its random run number lets instances notice that a
-// leader does not know their limits yet; the number 0 tells them that it grants no permits.
+// leader does not have their limits yet; the number 0 states that it grants no permits.
 func newAllocator(grants bool) *permit.Allocator {
 	if !grants {
 		return permit.NewAllocator(0)
@@ -39,7 +39,7 @@
 	return co.permits.Statuses(clock.Now())
 }
 
-// dropStaleLimits removes the limits of targets that have started again or are gone.
+// dropStaleLimits removes the limits of targets that have started again or have left.
 func (co *Coordinator) dropStaleLimits(context.Context) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -256,7 +256,7 @@
 	target.Announcement
 	Usable bool `json:"usable"`
 	// RateLimit is the rate limit that the target named, in requests per second from all instances
-	// together; nil if the instance knows none.
+	// together; nil if the instance has a record of none.
 	RateLimit *ident.RequestsPerSecond `json:"ratelimit,omitempty"`
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -153,7 +153,7 @@
 	// permit. Without it, limits are only observed. Earlier versions do not support its messages.
 	Permits bool `json:"permits,omitempty"`
 	// Facts lets instances share facts through the voters; see package fact. It is turned on when every
-	// instance runs a version that knows them.
+	// instance runs a version that supports them.
 	Facts bool `json:"facts,omitempty"`
 	// Learn lets instances estimate from the outcomes of requests how long engines take.
 	Learn bool `json:"learn,omitempty"`
