--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -95,3 +95,29 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkCarriedEvent measures one event of a stream that an instance carries: the CPU time of the
+// target's write, of the carrying instance and of the reader's read.
+func BenchmarkCarriedEvent(b *testing.B) {
+	event := []byte("id: 17\ndata: a piece of an answer of some length or other\n\n")
+	next, got := make(chan struct{}), make([]byte, len(event))
+	p := newPair(b, startTCP(b, func(c *net.TCPConn) {
+		for range next {
+			_, _ = c.Write(event) // a failure shows at the reader
+		}
+	}))
+	c, err := p.near.Connect(b.Context(), "far", "target")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	cpu := processTime(b)
+	for b.Loop() {
+		next <- struct{}{}
+		if _, err := io.ReadFull(c, got); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64((processTime(b)-cpu).Nanoseconds())/float64(b.N), "cpu-ns/event")
+	close(next)
+}
--- a/peer/connect_test.go
+++ b/peer/connect_test.go
@@ -24,7 +24,7 @@
 }
 
 // newPair starts two instances. The second one opens connections to targets with dial.
-func newPair(t *testing.T, dial Dialer) *pair {
+func newPair(t testing.TB, dial Dialer) *pair {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -59,7 +59,7 @@
 }
 
 // startTCP starts a server that runs serve on each connection, and returns a dialer to it.
-func startTCP(t *testing.T, serve func(c *net.TCPConn)) Dialer {
+func startTCP(t testing.TB, serve func(c *net.TCPConn)) Dialer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
