standin: a request that crashes the service, and a test of it over real processes

GET /crash resets all connections and refuses new ones for a second; the service is back in a new incarnation.

--- a/cmd/hickorystandin/main.go
+++ b/cmd/hickorystandin/main.go
@@ -77,7 +77,7 @@
 		if err != nil {
 			return fakeTarget{}, err
 		}
-		a.Address = s.Addr()
+		a.Address, a.Plain = s.Addr(), s
 		return fakeTarget{&s.Limit, s.Close}, nil
 	default:
 		return fakeTarget{}, fmt.Errorf("-kind: %q is neither engine nor service", kind)
--- /dev/null
+++ b/e2e/crash_test.go
@@ -0,0 +1,55 @@
+package e2e
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hickoryridge/hickoryridge/internal/standin"
+)
+
+// TestCrashingRequestIsRefused guards against a request of the project's own interface that crashes one replica
+// of a plain service after the other. Every instance refuses it, and serves others.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	c := newCluster(t, 3, 3, false)
+	c.addTargets(0, 3, standin.EngineConfig{})
+	c.bootstrap()
+	get := func(in int, path string) response {
+		return do(http.MethodGet, c.callersURL(in)+"/services/desk/"+path, nil, nil)
+	}
+	refused := func(in int) bool {
+		r := get(in, "crash")
+		return r.status == http.StatusServiceUnavailable && strings.Contains(string(r.body), "part_quarantined")
+	}
+	for in := range c.nodes {
+		c.await("the request to be refused", func() bool { return refused(in) })
+	}
+	crashes := func() int {
+		total := 0
+		for _, s := range c.services {
+			n, _ := s.Crashes()
+			total += n
+		}
+		return total
+	}
+	before := crashes()
+	if before < 3 {
+		t.Errorf("%d crashes before the request was refused, want at least 3", before)
+	}
+	c.await("other requests to be served", func() bool { return get(0, "postage/TT-1").status == http.StatusOK })
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for in := range c.nodes {
+			if !refused(in) {
+				t.Fatalf("instance %d no longer refuses the request", in)
+			}
+			if r := get(in, "postage/TT-1"); r.status != http.StatusOK {
+				t.Errorf("instance %d answers another request %d %s", in, r.status, r.body)
+			}
+		}
+	}
+	if after := crashes(); after != before {
+		t.Errorf("%d more crashes while the request was refused", after-before)
+	}
+	t.Logf("%d crashes", before)
+}
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -266,7 +266,7 @@
 		}
 		c.services = append(c.services, s)
 		c.announce(&standin.Announcer{
-			Target: ident.TargetID(fmt.Sprint("desk-", i+1)), Service: "desk", Address: s.Addr(), Incarnation: 1,
+			Target: ident.TargetID(fmt.Sprint("desk-", i+1)), Service: "desk", Address: s.Addr(), Incarnation: 1, Plain: s,
 		}, i)
 	}
 }
--- a/internal/standin/announcer.go
+++ b/internal/standin/announcer.go
@@ -34,6 +34,7 @@
 	Incarnation ident.Incarnation
 	Controls    []string // control addresses of the instances
 	Engine      *Engine  // nil for a plain service
+	Plain       *Service // a service that requests may crash; nil if there is none
 
 	sequence    atomic.Uint64
 	nextControl int
@@ -71,12 +72,21 @@
 		m.Load, m.Engine, m.Cache = a.Engine.Report()
 		m.Software = a.Engine.cfg.Software
 	}
+	if a.Plain != nil {
+		crashes, _ := a.Plain.Crashes()
+		m.Incarnation += ident.Incarnation(crashes)
+	}
 	return m
 }
 
-// announceOnce sends an announcement to one instance. If that fails, it tries the others
+// announceOnce sends an announcement to one instance, unless the target is down. If that fails, it tries the others
 // in turn and stays with the one that accepts it.
 func (a *Announcer) announceOnce(ctx context.Context) {
+	if a.Plain != nil {
+		if _, down := a.Plain.Crashes(); down {
+			return
+		}
+	}
 	m := a.announcement(false)
 	for range a.Controls {
 		if a.post(ctx, a.Controls[a.nextControl%len(a.Controls)], m) == nil {
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -32,12 +32,15 @@
 type Service struct {
 	Limit RateLimit
 
-	listener net.Listener
-	server   *http.Server
-
-	mu    sync.Mutex
-	runs  []RunRecord
-	fault ServiceFault
+	addr    string
+	handler http.Handler
+
+	mu      sync.Mutex
+	server  *http.Server // nil while the service is down
+	closed  bool
+	crashes int
+	runs    []RunRecord
+	fault   ServiceFault
 }
 
 // StartService serves a fake plain service on addr until Close.
@@ -46,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Service{listener: l}
+	s := &Service{addr: l.Addr().String()}
 	r := chi.NewRouter()
 	requests := r.With(s.Limit.wrap)
 	requests.Post("/payments", s.handleRun)
@@ -54,19 +57,34 @@
 	requests.Post("/claims", s.handleRun)
 	requests.Get("/postage/{code}", s.handleLookup)
 	requests.Get("/claims/{code}", s.handleLookup)
+	requests.Get("/crash", s.handleCrash)
 	r.Post("/limit", s.Limit.handle)
 	r.Get("/ran", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Runs()) })
 	r.Post("/fault", s.handleFault)
-	s.server = &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = s.server.Serve(l) }() // returns on Close
+	s.handler = r
+	s.serve(l)
 	return s, nil
 }
 
+// serve serves on a listener until the service crashes or is closed. s.mu is held, or s not yet shared.
+func (s *Service) serve(l net.Listener) {
+	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: 5 * time.Second}
+	s.server = server
+	go func() { _ = server.Serve(l) }() // returns on Close
+}
+
 // Addr returns the service's listen address.
-func (s *Service) Addr() string { return s.listener.Addr().String() }
+func (s *Service) Addr() string { return s.addr }
 
 // Close stops the service and resets its connections.
-func (s *Service) Close() { _ = s.server.Close() }
+func (s *Service) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.server != nil {
+		_ = s.server.Close() // connections are reset
+	}
+}
 
 // Runs returns the requests that the service has run, in order.
 func (s *Service) Runs() []RunRecord {
