peer: a carried connection ends its tasks, without a warning

Found while reading the change again: where a target ended its connection properly, the task that writes replies stayed, with a queue of 98 KB, for each request that a voter had carried; all other ends were logged as a warning each. And 1,024 connections with such queues are 100 MB of a voter's 256: at most 512 now.

--- a/peer/connect.go
+++ b/peer/connect.go
@@ -34,7 +34,7 @@
 	// than that of other connections, as a caller that reads slowly stops the flow.
 	carriedUnackedTimeout = 10 * time.Second
 	// maxCarried bounds the connections that an instance carries at a time.
-	maxCarried = 1024
+	maxCarried = 512
 	// chunkBytes is the longest chunk.
 	chunkBytes = 16 << 10
 	// chunkHeadBytes is the length of the length of a chunk.
@@ -151,7 +151,10 @@
 func (in *incoming) carry(ctx context.Context, r *bufio.Reader, call uint64, request *Connect) error {
 	t, err := in.n.dialFor(ctx, request)
 	if err != nil {
-		return errors.Join(err, in.replyNow(call, FailureOf(err)))
+		if err := in.replyNow(call, FailureOf(err)); err != nil {
+			return err
+		}
+		return io.EOF // as below
 	}
 	defer func() { _ = t.Close() }() // the target sees that the caller has left
 	if err := in.replyNow(call, &Done{}); err != nil {
@@ -170,10 +173,10 @@
 		_ = t.Close() // the caller has left: the target stops its work
 		sent <- err
 	}()
-	err = sendChunks(in.c, t)
-	_ = in.c.Close() // ends the other direction
+	_ = sendChunks(in.c, t) // the reader sees whether the target has ended the connection
+	_ = in.c.Close()        // ends the other direction
 	<-sent
-	return err
+	return io.EOF // ends the connection's other tasks
 }
 
 // Carried returns the number of connections to targets that this instance carries for others.
--- a/peer/connect_test.go
+++ b/peer/connect_test.go
@@ -6,7 +6,9 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +23,19 @@
 type pair struct {
 	near *Network
 	stop context.CancelFunc // stops the other instance
+	log  *countingHook      // of both
+}
+
+// countingHook counts log lines. It is safe for concurrent use.
+type countingHook struct{ lines atomic.Int64 }
+
+// Levels returns the levels that are counted.
+func (h *countingHook) Levels() []logrus.Level { return []logrus.Level{logrus.WarnLevel} }
+
+// Fire counts a line.
+func (h *countingHook) Fire(*logrus.Entry) error {
+	h.lines.Add(1)
+	return nil
 }
 
 // newPair starts two instances. The second one opens connections to targets with dial.
@@ -28,6 +43,8 @@
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
+	p := &pair{log: &countingHook{}}
+	logger.AddHook(p.log)
 	listen := func() net.Listener {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -42,7 +59,7 @@
 		Self: Hello{Instance: "near"}, Listen: listen(), Handler: handler, Log: logrus.NewEntry(logger),
 		Peers: map[ident.InstanceID]string{"far": farListener.Addr().String()},
 	})
-	p := &pair{near: near}
+	p.near = near
 	for _, n := range []*Network{far, near} {
 		ctx, cancel := context.WithCancel(context.Background())
 		g := task.New(ctx)
@@ -216,6 +233,40 @@
 	}
 }
 
+// TestCarriedConnectionsEnd guards against tasks that stay, and a warning, for each connection that was carried.
+func TestCarriedConnectionsEnd(t *testing.T) {
+	p := newPair(t, startTCP(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "answer")
+		_ = c.Close()
+	}))
+	carry := func() {
+		c, err := p.near.Connect(t.Context(), "far", "target")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		if got, err := io.ReadAll(c); err != nil || string(got) != "answer" {
+			t.Fatalf("read %q, %v", got, err)
+		}
+	}
+	carry()
+	before := runtime.NumGoroutine()
+	const n = 100
+	for range n {
+		carry()
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for runtime.NumGoroutine() > before+n/10 && time.Now().Before(deadline) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if after := runtime.NumGoroutine(); after > before+n/10 {
+		t.Errorf("%d goroutines after %d carried connections, %d before", after, n, before)
+	}
+	if lines := p.log.lines.Load(); lines > 0 {
+		t.Errorf("%d warnings after %d carried connections", lines, n)
+	}
+}
+
 // TestCarriedAreBounded guards against connections without end, and against a count that does not fall.
 func TestCarriedAreBounded(t *testing.T) {
 	n := &Network{cfg: Config{Dial: func(context.Context, string) (net.Conn, error) {
