--- a/internal/target/link/link.go
+++ b/internal/target/link/link.go
@@ -65,8 +65,8 @@
 // Opened records that a connection was opened.
 func (m *Monitor) Opened() { clear(m.failed) }
 
-// Doubtful reports whether the failures of targets may be those of the link. They are no reason to think
-// ill of the targets then.
+// Doubtful reports whether the failures of targets may be those of the link. Then they are no evidence
+// against the targets.
 func (m *Monitor) Doubtful(now clock.Time) bool {
 	m.forget(now)
 	return m.cutOff || len(m.failed) >= minFailed
