e2e: every instance is waited for before others are required to be served

Its log shows why: all three services had crashed again at 09:30:20.7, and the test waited only until instance 0 had heard of those that were back; others pull announcements every half second. What is required after that is unchanged.

--- a/e2e/crash_test.go
+++ b/e2e/crash_test.go
@@ -37,7 +37,9 @@
 	if before < 3 {
 		t.Errorf("%d crashes before the request was refused, want at least 3", before)
 	}
-	c.await("other requests to be served", func() bool { return get(0, "postage/TT-1").status == http.StatusOK })
+	for in := range c.nodes { // each has to hear of the replicas that are back
+		c.await("other requests to be served", func() bool { return get(in, "postage/TT-1").status == http.StatusOK })
+	}
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for in := range c.nodes {
 			if !refused(in) {
