--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -24,6 +24,8 @@
 	Service   *desired.Service
 	Request   plain.Request
 	MatchPath string // path without the query, which selects the operation
+
+	parts []quarantine.Part // what of the request may crash a target: all of it
 }
 
 // PlainResponse is the response to a plain request.
@@ -48,6 +50,7 @@
 }
 
 func (d *Dispatcher) servePlain(ctx context.Context, p PlainRequest) (*PlainResponse, error) {
+	p.parts = p.suspectParts() // once for all attempts
 	op := p.Service.Operation(p.Request.Method, p.MatchPath)
 	var key ident.IdempotencyKey
 	var keyTime state.UnixMillis
@@ -102,7 +105,7 @@
 
 // trySendOnce makes one attempt at one target. The returned target is empty if none was usable.
 func (d *Dispatcher) trySendOnce(ctx context.Context, p PlainRequest, avoid ident.TargetID, beforeSend func() error) (*plain.Response, ident.TargetID, error) {
-	if err := d.checkParts(p.parts()); err != nil {
+	if err := d.checkParts(p.parts); err != nil {
 		return nil, "", err
 	}
 	assigned, err := d.choose(ctx, router.Request{Service: p.Service.Name, Avoid: avoid})
@@ -125,14 +128,14 @@
 	switch {
 	case answer != nil:
 		d.recordHead(a, p.Request.Method+" "+p.MatchPath, answer.Status, answer.Header)
-		d.recordBegun(a, p.parts())
+		d.recordBegun(a, p.parts)
 	case fault.ResponseOf(err).Ran != fault.RanNo && ctx.Err() == nil:
-		d.recordCrash(ctx, a, p.Request.Method+" "+p.MatchPath, p.parts(), false)
+		d.recordCrash(ctx, a, p.Request.Method+" "+p.MatchPath, p.parts, false)
 	}
 }
 
-// parts returns what of the request may crash a target: all of it.
-func (p *PlainRequest) parts() []quarantine.Part {
+// suspectParts returns what of the request may crash a target: all of it.
+func (p *PlainRequest) suspectParts() []quarantine.Part {
 	name := digest(p.Request.Body, string(p.Info.Tenant.Name), p.Request.Method, p.Request.Path)
 	return suspectParts(p.Service.Name, nil, name)
 }
@@ -192,7 +195,7 @@
 }
 
 func (d *Dispatcher) trySendIdempotent(ctx context.Context, p PlainRequest, avoid ident.TargetID) (*plain.Response, ident.TargetID, error) {
-	if err := d.checkParts(p.parts()); err != nil {
+	if err := d.checkParts(p.parts); err != nil {
 		return nil, "", err
 	}
 	assigned, err := d.choose(ctx, router.Request{Service: p.Service.Name, Avoid: avoid})
--- a/dispatch/plain_test.go
+++ b/dispatch/plain_test.go
@@ -65,7 +65,7 @@
 			if got := len(batch.Evidence.Crashed); got != test.reports {
 				t.Errorf("%d crashes reported, want %d", got, test.reports)
 			}
-			dead := quarantine.Suspect{Part: p.parts()[0], Quarantined: true, Until: desired.Duration(time.Minute)}
+			dead := quarantine.Suspect{Part: p.suspectParts()[0], Quarantined: true, Until: desired.Duration(time.Minute)}
 			d.cfg.Facts.Apply(clock.Now(), 1, []quarantine.Suspect{dead})
 			before := runs.Load()
 			_, err = d.Plain(t.Context(), p)
@@ -86,7 +86,7 @@
 	p := newPlainRequest(http.MethodGet, "/dead")
 	var d *Dispatcher
 	d = newPlainDispatcher(t, true, func(http.ResponseWriter, *http.Request) {
-		dead := quarantine.Suspect{Part: p.parts()[0], Quarantined: true, Until: desired.Duration(time.Minute)}
+		dead := quarantine.Suspect{Part: p.suspectParts()[0], Quarantined: true, Until: desired.Duration(time.Minute)}
 		d.cfg.Facts.Apply(clock.Now(), 1, []quarantine.Suspect{dead})
 		panic(http.ErrAbortHandler) // no response
 	})
--- a/instance/facts.go
+++ b/instance/facts.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/hickoryridge/hickoryridge/dispatch"
@@ -14,6 +13,7 @@
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/fact"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/quarantine"
+	"github.com/hickoryridge/hickoryridge/internal/cluster/rendezvous"
 	"github.com/hickoryridge/hickoryridge/peer"
 )
 
@@ -47,15 +47,11 @@
 // choose returns the voter to use and whether it is another one than before. Instances spread over the
 // voters of their region by rendezvous hashing.
 func (c *factClient) choose(now clock.Time) (id ident.InstanceID, changed bool) {
-	best, bestNear, most := ident.InstanceID(""), false, uint64(0)
-	for _, v := range c.in.roster.Voters() {
-		if now.Before(c.skipUntil[v]) {
-			continue
-		}
-		near := c.in.near(v)
-		score := xxhash.Sum64String(string(v) + "\x00" + string(c.in.settings.Instance))
-		if best == "" || near && !bestNear || near == bestNear && score > most {
-			best, bestNear, most = v, near, score
+	best := ident.InstanceID("")
+	for _, v := range rendezvous.Order(c.in.settings.Instance, c.in.roster.Voters(), c.in.near) {
+		if !now.Before(c.skipUntil[v]) {
+			best = v
+			break
 		}
 	}
 	c.mu.Lock()
--- a/instance/link.go
+++ b/instance/link.go
@@ -250,7 +250,7 @@
 	if !in.targetPool.Announces(addr) {
 		return nil, fault.New(fault.NoTarget, "no target has announced the address %s", addr)
 	}
-	c, err := tcp.Dial(ctx, addr, http1.ConnectionOptions)
+	c, err := in.link.direct(ctx, addr)
 	if err != nil {
 		return nil, fault.New(fault.NoTarget, "%v", err)
 	}
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -80,11 +80,7 @@
 // requestConnect sends Connect and reads the reply.
 func requestConnect(ctx context.Context, c net.Conn, r *bufio.Reader, addr string) error {
 	deadline, _ := ctx.Deadline()
-	frame, err := (Envelope{CallID: 1, Body: &Connect{Address: addr}}).Encode()
-	if err != nil {
-		return err
-	}
-	if err := writeFrame(c, frame); err != nil {
+	if err := writeEnvelope(c, Envelope{CallID: 1, Body: &Connect{Address: addr}}); err != nil {
 		return err
 	}
 	if err := c.SetDeadline(deadline); err != nil {
@@ -203,11 +199,7 @@
 
 // replyNow writes a reply at once, before bytes of the target.
 func (in *incoming) replyNow(call uint64, b Body) error {
-	frame, err := (Envelope{CallID: call, Reply: true, Body: b}).Encode()
-	if err != nil {
-		return err
-	}
-	if err := writeFrame(in.c, frame); err != nil {
+	if err := writeEnvelope(in.c, Envelope{CallID: call, Reply: true, Body: b}); err != nil {
 		return err
 	}
 	return in.c.SetWriteDeadline(time.Time{})
@@ -217,20 +209,20 @@
 // properly.
 func sendChunks(w io.Writer, t io.Reader) error {
 	buf := make([]byte, chunkHeadBytes+chunkBytes)
+	writeChunk := func(n int) error {
+		binary.BigEndian.PutUint32(buf, uint32(n))
+		_, err := w.Write(buf[:chunkHeadBytes+n])
+		return err
+	}
 	for {
 		n, err := t.Read(buf[chunkHeadBytes:])
-		if n > 0 || err == io.EOF {
-			binary.BigEndian.PutUint32(buf, uint32(n))
-			if _, werr := w.Write(buf[:chunkHeadBytes+n]); werr != nil {
-				return werr
+		if n > 0 {
+			if err := writeChunk(n); err != nil {
+				return err
 			}
 		}
-		if err == io.EOF && n > 0 {
-			_, err := w.Write(make([]byte, chunkHeadBytes))
-			return err
-		}
 		if err == io.EOF {
-			return nil
+			return writeChunk(0)
 		}
 		if err != nil {
 			return err
--- a/peer/network.go
+++ b/peer/network.go
@@ -294,11 +294,7 @@
 		c = tls.Client(c, l.n.cfg.TLS)
 	}
 	hello := l.n.cfg.Self
-	frame, err := (Envelope{Body: &hello}).Encode()
-	if err == nil {
-		err = writeFrame(c, frame)
-	}
-	if err != nil {
+	if err := writeEnvelope(c, Envelope{Body: &hello}); err != nil {
 		_ = c.Close() // the write error is returned instead
 		return nil, err
 	}
@@ -343,6 +339,15 @@
 	return Decode(payload)
 }
 
+// writeEnvelope writes a message at once, past the queue of a connection.
+func writeEnvelope(c net.Conn, e Envelope) error {
+	frame, err := e.Encode()
+	if err != nil {
+		return err
+	}
+	return writeFrame(c, frame)
+}
+
 func writeFrame(c net.Conn, frame []byte) error {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
