--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -40,7 +40,8 @@
 type play func(rec *record, trouble bool) (broken bool, err error)
 
 var plays = map[string]play{
-	"drain": playDrain,
+	"drain":  playDrain,
+	"forged": playForged,
 }
 
 func main() { os.Exit(run()) }
