--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -40,8 +40,11 @@
 type play func(rec *record, trouble bool) (broken bool, err error)
 
 var plays = map[string]play{
-	"drain":  playDrain,
-	"forged": playForged,
+	"drain":   playDrain,
+	"forged":  playForged,
+	"leave":   playLeave,
+	"prompt":  playPrompt,
+	"refusal": playRefusal,
 }
 
 func main() { os.Exit(run()) }
--- a/review/platform/replica.go
+++ b/review/platform/replica.go
@@ -41,6 +41,8 @@
 	c       net.Conn
 	r       *bufio.Reader
 	pending []byte // bytes to send before the next response
+	// pendingID is the id of the request that pending belongs to.
+	pendingID string
 }
 
 // newReplica returns a replica that listens on a loopback address, and starts to serve.
