--- a/review/platform/prompt.go
+++ b/review/platform/prompt.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +20,7 @@
 	memoryCheck = 5 * time.Millisecond
 	// promptTokens is the length of a prompt that no replica has memory for.
 	promptTokens = 1_000_000_000_000
+	promptTime   = 5 * time.Second
 	// maxLost is the number of requests that a machine may pass on and leave without an answer.
 	maxLost = 3
 )
@@ -49,27 +51,32 @@
 		return false, err
 	}
 	go enforceMemory(ctx, rec, front)
-	answers := make([]answer, drainRequests)
+	answers := make([][]answer, drainRequests)
 	var wg sync.WaitGroup
 	for i := range answers {
-		wg.Go(func() { answers[i] = q.send(front.front(), http.MethodPost, "/ask/x", 3*time.Second, nil) })
+		wg.Go(func() {
+			for end := time.Now().Add(promptTime); time.Now().Before(end) && front.running(); {
+				answers[i] = append(answers[i], q.send(front.front(), http.MethodPost, "/ask/x", 3*time.Second, nil))
+			}
+		})
 	}
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(time.Second)
 	if trouble {
-		rec.line("a request with a prompt of %d tokens is sent to %s", promptTokens, front.name)
-		h := http.Header{"X-Model": {"m"}, "X-Token-Counts": {fmt.Sprint(promptTokens+1, ",5")}, "X-Prompt-Prefix": {fmt.Sprintf("5c1e07a2:%d,91bd3f06:1", promptTokens)}}
+		rec.line("a request with a prompt of %d tokens is sent to %s", int64(promptTokens), front.name)
+		h := http.Header{"X-Model": {"m"}, "X-Token-Counts": {fmt.Sprint(int64(promptTokens)+1, ",5")}, "X-Prompt-Prefix": {fmt.Sprintf("5c1e07a2:%d,91bd3f06:1", int64(promptTokens))}}
 		a := q.send(front.front(), http.MethodPost, "/ask/x", 3*time.Second, h)
 		rec.line("its answer: status %d, error %v", a.status, a.err)
 	}
 	wg.Wait()
-	lost := 0
-	for _, a := range answers {
-		rec.line("request %s: status %d, complete %v, error %v", a.id, a.status, a.complete, a.err)
-		if a.status != http.StatusOK || !a.complete {
+	lost, sent := 0, 0
+	for _, a := range slices.Concat(answers...) {
+		sent++
+		if a.status == http.StatusOK && !a.complete {
 			lost++
+			rec.line("request %s: status %d, %d bytes, complete %v, error %v", a.id, a.status, len(a.body), a.complete, a.err)
 		}
 	}
-	rec.line("%d of %d requests that were passed on to a sound replica have no complete answer; %d are allowed", lost, drainRequests, maxLost)
+	rec.line("%d of %d sound requests were passed on to a replica and cut; %d are allowed", lost, sent, maxLost)
 	return lost > maxLost, nil
 }
 
