--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -43,6 +43,7 @@
 	"drain":   playDrain,
 	"forged":  playForged,
 	"leave":   playLeave,
+	"restart": playRestart,
 	"prompt":  playPrompt,
 	"refusal": playRefusal,
 }
