--- a/review/platform/forged.go
+++ b/review/platform/forged.go
@@ -18,9 +18,9 @@
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerMs":3000,"idleMs":15000}}`
 
 const (
-	// forgedRequests come within 6 s, at about twice the usual rate of such requests.
-	forgedRequests = 290
-	forgedPause    = 20 * time.Millisecond
+	// forgedRequests come within 5.5 s, more slowly than the streams of the site.
+	forgedRequests = 440
+	forgedPause    = 12 * time.Millisecond
 	forgedEvents   = 12
 	// One replica of the two breaks off one in breakEvery of its streams after event breakAfter.
 	breakAfter = 4
