--- a/review/platform/system.go
+++ b/review/platform/system.go
@@ -16,12 +16,13 @@
 	"time"
 )
 
-// Ports of every machine. Each machine has a loopback address of its own.
-const (
-	frontPort   = 18144
-	readyPort   = 18140
-	controlPort = 18146
-	peerPort    = 17660
+// Ports of every machine, below the system's range for outgoing connections. Each machine has a loopback address of its
+// own.
+var (
+	frontPort   = 12_000 + 4*rand.IntN(5_000)
+	readyPort   = frontPort + 1
+	controlPort = frontPort + 2
+	peerPort    = frontPort + 3
 )
 
 const (
