--- a/review/platform/refusal.go
+++ b/review/platform/refusal.go
@@ -19,12 +19,13 @@
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerMs":3000,"idleMs":15000}}`
 
 const (
-	refusalRate  = 40 // requests per second
-	refusalTime  = 60 * time.Second
-	decodeSlots  = 48
-	decodeEvents = 5
-	decodeStep   = 6 * time.Millisecond
-	prefillTime  = 4 * time.Millisecond
+	refusalRate   = 60 // requests per second
+	refusalFronts = 6
+	refusalTime   = 95 * time.Second
+	decodeSlots   = 48
+	decodeEvents  = 5
+	decodeStep    = 6 * time.Millisecond
+	prefillTime   = 4 * time.Millisecond
 	// troublePeriod is the time from one disruption to the next. In each, the decode replica rejects shedShare of its
 	// requests for shedTime, and writes repeatShare of its answers a second time for repeatTime.
 	troublePeriod = 8 * time.Second
@@ -136,7 +137,7 @@
 // playRefusal sends requests to a service whose replica of the stage decode rejects some. With trouble, that replica
 // writes some of its answers a second time.
 func playRefusal(rec *record, trouble bool) (bool, error) {
-	s, err := newSystem(3, 2, refusalManifest)
+	s, err := newSystem(3, refusalFronts, refusalManifest)
 	if s != nil {
 		defer s.stop()
 	}
@@ -167,7 +168,7 @@
 		wg.Go(func() {
 			time.Sleep(time.Duration(i) * time.Second / refusalRate)
 			h := http.Header{"X-Model": {"m"}, "X-Token-Counts": {"1791,5"}, "X-Prompt-Prefix": {fmt.Sprintf("%s:1500,%08x:291", newID()[:8], i)}}
-			answers[i] = q.send(s.fronts[i%2].front(), http.MethodPost, "/ask/x", 3*time.Second, h)
+			answers[i] = q.send(s.fronts[i%refusalFronts].front(), http.MethodPost, "/ask/x", 3*time.Second, h)
 			rec.line("request %s: status %d, complete %v, error %v", answers[i].id, answers[i].status, answers[i].complete, answers[i].err)
 		})
 	}
