--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -1,10 +1,10 @@
 // Command standins plays the cases of the review: it starts the system's processes with the commands of the
 // deploy file and stands in for requesters, replicas, the operator and the platform.
 //
-//	standins CASE FOLDER
+//	standins CASE FOLDER TROUBLE
 //
 // It writes record.txt in the folder. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case
-// could not run. With TROUBLE=0 it leaves the disruption out.
+// could not run. If TROUBLE is 0, it leaves the disruption out.
 package main
 
 import (
@@ -51,8 +51,8 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standins CASE FOLDER")
+	if len(os.Args) != 4 || plays[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standins CASE FOLDER TROUBLE")
 		return exitFailed
 	}
 	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
@@ -61,7 +61,9 @@
 		return exitFailed
 	}
 	rec := &record{file: file, start: time.Now()}
-	broken, err := plays[os.Args[1]](rec, os.Getenv("TROUBLE") != "0")
+	trouble := os.Args[3] != "0"
+	rec.line("disruption: %v", trouble)
+	broken, err := plays[os.Args[1]](rec, trouble)
 	switch {
 	case err != nil:
 		rec.line("the case could not run: %v", err)
