--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -10,8 +10,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -61,6 +63,9 @@
 		return exitFailed
 	}
 	rec := &record{file: file, start: time.Now()}
+	// Processes start with the default action of SIGHUP, as on the platform, also if this one was started with SIGHUP
+	// ignored, which they would inherit.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	trouble := os.Args[3] != "0"
 	rec.line("disruption: %v", trouble)
 	broken, err := plays[os.Args[1]](rec, trouble)
