--- a/cmd/hickoryridge/main.go
+++ b/cmd/hickoryridge/main.go
@@ -20,6 +20,7 @@
 	"github.com/hickoryridge/hickoryridge/instance"
 	"github.com/hickoryridge/hickoryridge/internal/cli"
 	"github.com/hickoryridge/hickoryridge/internal/demo"
+	"github.com/hickoryridge/hickoryridge/internal/host/signals"
 	"github.com/hickoryridge/hickoryridge/internal/log/stdout"
 	"github.com/hickoryridge/hickoryridge/internal/task"
 	"github.com/hickoryridge/hickoryridge/settings"
@@ -41,9 +42,11 @@
 		fmt.Fprint(os.Stderr, usage)
 		return cli.ExitInvalid
 	}
-	switch args[0] {
-	case "serve":
+	if args[0] == "serve" {
 		return serve(args[1:])
+	}
+	signals.Default()
+	switch args[0] {
 	case "check":
 		return check(args[1:])
 	case "demo":
@@ -111,7 +114,8 @@
 	return code
 }
 
-// serveInstance runs the instance and reloads its settings when the file changes.
+// serveInstance runs the instance until a signal stops it, and reloads its settings when the file changes, also
+// while it stops.
 func serveInstance(s *settings.Settings, from source, logger *logrus.Logger) int {
 	if s.Limits.Memory > 0 {
 		// The remaining quarter is left for memory that the runtime does not count.
@@ -122,14 +126,19 @@
 		logger.WithField("event", "start_failed").Error(err)
 		return cli.ExitFailed
 	}
-	ctx := cli.SignalContext()
-	watch := settings.Watch{Path: from.path, Lenient: from.lenient, Changed: in.Reload, Log: logger}
-	reloads := task.New(ctx)
-	reloads.Go("settings", watch.Run)
+	watch := settings.Watch{Path: from.path, Lenient: from.lenient, Signals: signals.Reloads(), Changed: in.Reload, Log: logger}
+	handlers := task.New(context.Background())
+	handlers.Go("settings", watch.Run)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	handlers.Go("stop", func(end context.Context) error {
+		defer stop()
+		return signals.AwaitStop(end)
+	})
 	err = in.Run(ctx)
-	reloads.Stop()
-	if stopped := reloads.Wait(); err == nil {
-		err = stopped
+	handlers.Stop()
+	if ended := handlers.Wait(); err == nil {
+		err = ended
 	}
 	if err != nil {
 		logger.WithField("event", "run_failed").Error(err)
--- a/settings/watch.go
+++ b/settings/watch.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,11 +14,12 @@
 // pollInterval is the interval at which the file is checked for changes without a signal.
 const pollInterval = 1 * time.Second
 
-// Watch reloads a settings file when its content changes. It checks at SIGHUP and every
+// Watch reloads a settings file when its content changes. It checks at each signal and every
 // pollInterval. An unreadable or invalid file leaves the current settings in force.
 type Watch struct {
 	Path    string
 	Lenient bool // ignore unknown fields
+	Signals <-chan os.Signal
 	Changed func(*Settings)
 	Log     *logrus.Logger
 
@@ -29,9 +28,6 @@
 
 // Run watches the file until ctx ends.
 func (w *Watch) Run(ctx context.Context) error {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	w.last, _ = os.ReadFile(w.Path) // read logs a failure
@@ -39,8 +35,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-hangups:
-			w.Log.WithField("event", "settings_signal").Info("received SIGHUP; checking the settings file")
+		case <-w.Signals:
+			w.Log.WithField("event", "settings_signal").Info("signal received; checking the settings file")
 		case <-ticker.C:
 		}
 		w.read()
