--- a/instance/duties.go
+++ b/instance/duties.go
@@ -89,7 +89,7 @@
 	before := in.gate.Version()
 	grant, err := requestAs[*peer.Grant](ctx, in.leader, &peer.Lease{
 		Instance: in.settings.Instance, Boot: in.boot, Version: before,
-		Demand: in.dispatcher.TakeDemand(), Leaving: in.stopping.Load(), BusyEngines: in.targetPool.DrainingTargets(),
+		Demand: in.dispatcher.TakeDemand(), Leaving: in.stages.isLeaving(), BusyEngines: in.targetPool.DrainingTargets(),
 		LongPoll: in.gate.HoldsLease(requestedAt) && before == in.confirmedView, RosterIndex: in.roster.MembershipIndex(),
 	})
 	if err != nil {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -28,7 +28,6 @@
 	"github.com/hickoryridge/hickoryridge/internal/net/tcp"
 	"github.com/hickoryridge/hickoryridge/internal/target/http1"
 	"github.com/hickoryridge/hickoryridge/internal/task"
-	"github.com/hickoryridge/hickoryridge/leader"
 	"github.com/hickoryridge/hickoryridge/metrics"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/plain"
@@ -43,9 +42,6 @@
 const (
 	// handleTimeout bounds the handling of another instance's request.
 	handleTimeout = 5 * time.Second
-	// drainPollInterval is the interval at which a stopping instance checks whether its requests
-	// have ended and whether the leadership has moved.
-	drainPollInterval = 20 * time.Millisecond
 	// routeNoise is the largest random increase of a target's routing cost, as a fraction of the
 	// cost of the request itself; see router.Config.Noise. It keeps several instances from choosing
 	// the same one of equal targets.
@@ -54,33 +50,31 @@
 
 // Instance is one instance of the system. New creates it and Run serves.
 type Instance struct {
-	settings     *settings.Settings
-	boot         ident.BootID
-	log          *logrus.Entry
-	peerCert     *cert.Reloader // nil for plain TCP
-	callerCert   *cert.Reloader // nil for plain TCP
-	listeners    listeners
-	network      *peer.Network
-	roster       *roster
-	voter        *voter // nil if the instance is not a voter
-	leader       *leaderClient
-	gate         *dispatch.Gate
-	targetPool   *dispatch.TargetPool
-	engines      *engine.Client
-	plain        *plain.Client
-	targetClient *http1.Client // sends forwarded requests
-	directClient *http1.Client // sends orders in the protocol of the platform, never through another instance
-	link         *linkClient   // opens the connections of targetClient
-	receipts     *receipt.Runner
-	dispatcher   *dispatch.Dispatcher
-	placerClient *placerClient    // nil if this instance selects targets itself
-	placer       *dispatch.Placer // selects targets for other instances; nil if disabled
-	factClient   *factClient      // shares facts through a voter; nil if disabled
-	factHub      *factHub         // the facts at this voter; nil if disabled or no voter
-	metrics      *metrics.Metrics
-	stopping     atomic.Bool
-	// lingering is closed when a stopping instance starts to linger.
-	lingering      chan struct{}
+	settings       *settings.Settings
+	boot           ident.BootID
+	log            *logrus.Entry
+	peerCert       *cert.Reloader // nil for plain TCP
+	callerCert     *cert.Reloader // nil for plain TCP
+	listeners      listeners
+	network        *peer.Network
+	roster         *roster
+	voter          *voter // nil if the instance is not a voter
+	leader         *leaderClient
+	gate           *dispatch.Gate
+	targetPool     *dispatch.TargetPool
+	engines        *engine.Client
+	plain          *plain.Client
+	targetClient   *http1.Client // sends forwarded requests
+	directClient   *http1.Client // sends orders in the protocol of the platform, never through another instance
+	link           *linkClient   // opens the connections of targetClient
+	receipts       *receipt.Runner
+	dispatcher     *dispatch.Dispatcher
+	placerClient   *placerClient    // nil if this instance selects targets itself
+	placer         *dispatch.Placer // selects targets for other instances; nil if disabled
+	factClient     *factClient      // shares facts through a voter; nil if disabled
+	factHub        *factHub         // the facts at this voter; nil if disabled or no voter
+	metrics        *metrics.Metrics
+	stages         stages
 	latestSettings atomic.Pointer[settings.Settings] // most recent settings
 	// confirmedView is the newest view that this instance has confirmed to the leader. It is owned
 	// by the lease task.
@@ -103,7 +97,7 @@
 func New(s *settings.Settings, logger *logrus.Logger) (*Instance, error) {
 	boot := ident.BootID(ident.NewRandom())
 	in := &Instance{
-		settings: s, boot: boot, ready: make(chan struct{}), lingering: make(chan struct{}), leaseGained: make(chan struct{}, 1),
+		settings: s, boot: boot, ready: make(chan struct{}), stages: newStages(), leaseGained: make(chan struct{}, 1),
 		log:     logger.WithFields(logrus.Fields{"instance": s.Instance}),
 		gate:    dispatch.NewGate(),
 		engines: engine.NewClient(s.IdleLimit()),
@@ -346,74 +340,6 @@
 	return err
 }
 
-// drain stops the instance from taking requests, waits for those in progress, and then hands the
-// leadership over. If the stop timeout of the settings ends the wait, requests are cut off and the
-// leadership is not handed over.
-func (in *Instance) drain(ctx context.Context) {
-	in.stopping.Store(true)
-	in.log.WithField("event", "draining").Info("stopping; waiting for requests in progress")
-	in.linger(ctx)
-	in.gate.Drain()
-	if bound := in.settings.StopBound(); bound > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, bound)
-		defer cancel()
-	}
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for {
-		running, waiting := in.dispatcher.Load()
-		if running+waiting+in.receipts.Pending()+in.network.Carried() == 0 {
-			break
-		}
-		select {
-		case <-ctx.Done():
-			in.log.WithFields(logrus.Fields{"event": "drain_bound", "running": running}).Warn("stop timeout reached; requests in progress are cut off")
-			return
-		case <-ticker.C:
-		}
-	}
-	in.transferLeadership(ctx)
-}
-
-// linger keeps serving for the linger time of the settings, in which the load balancer removes the
-// instance.
-func (in *Instance) linger(ctx context.Context) {
-	wait := in.settings.Timing.Linger.AsDuration()
-	if wait == 0 {
-		return
-	}
-	close(in.lingering)
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
-
-// transferLeadership hands the leadership to another voter while the connections are still open,
-// and waits for up to one lease until it has moved.
-func (in *Instance) transferLeadership(ctx context.Context) {
-	if in.voter == nil || !in.voter.transferLeadership() {
-		return
-	}
-	deadline := time.NewTimer(leader.LeaseDuration)
-	defer deadline.Stop()
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for {
-		if !in.voter.isLeader() {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-deadline.C:
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // handle processes a message of another instance and returns the reply. A voter that does not lead
 // and an instance that is no voter reply fault.NotLeader to requests for the leader.
 func (in *Instance) handle(ctx context.Context, from ident.InstanceID, b peer.Body) (peer.Body, error) {
--- a/instance/link.go
+++ b/instance/link.go
@@ -244,7 +244,7 @@
 // dialForPeer opens a connection to a target for another instance. It connects only to addresses that targets
 // have announced.
 func (in *Instance) dialForPeer(ctx context.Context, addr string) (net.Conn, error) {
-	if in.stopping.Load() {
+	if in.stages.isLeaving() {
 		return nil, fault.New(fault.Draining, "this instance is stopping")
 	}
 	if !in.targetPool.Announces(addr) {
--- a/instance/serve_test.go
+++ b/instance/serve_test.go
@@ -20,10 +20,10 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
-	in := &Instance{lingering: make(chan struct{})}
+	in := &Instance{stages: newStages()}
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
-	go func() { ended <- in.serve(ctx, l, newServer(http.NotFoundHandler())) }()
+	go func() { ended <- in.serveInternal(ctx, l, http.NotFoundHandler()) }()
 	time.Sleep(100 * time.Millisecond) // lets the server accept the connection
 	cancel()
 	if err := <-ended; err != nil {
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -42,12 +41,11 @@
 	l := in.listeners.callers
 	guard := http1.NewGuard(in.connectionLimits)
 	server := &http.Server{Handler: in.callerHandler(), MaxHeaderBytes: desired.MaxHeaderBytes}
-	guard.Attach(server)
 	l = guard.Listener(l)
 	if in.callerCert != nil {
 		l = tls.NewListener(l, in.callerCert.CallerConfig())
 	}
-	return in.serve(ctx, l, server)
+	return in.serve(ctx, l, server, guard)
 }
 
 // callerLimits returns this instance's limits for callers. They apply where the document sets none.
@@ -94,13 +92,13 @@
 	if in.settings.Protocol == settings.ProtocolPlatform {
 		in.mountPlatform(r)
 	}
-	return in.serve(ctx, in.listeners.control, newServer(r))
+	return in.serveInternal(ctx, in.listeners.control, r)
 }
 
 func (in *Instance) serveMetrics(ctx context.Context) error {
 	r := chi.NewRouter()
 	r.Method(http.MethodGet, "/metrics", in.metrics.Handler())
-	return in.serve(ctx, in.listeners.metrics, newServer(r))
+	return in.serveInternal(ctx, in.listeners.metrics, r)
 }
 
 // mountPlatform adds the endpoints that targets and operators of the outside platform call; see
@@ -168,7 +166,7 @@
 
 func (in *Instance) health() *platform.Health {
 	return platform.NewHealth(func() error {
-		if in.stopping.Load() {
+		if in.stages.isLeaving() {
 			return fault.New(fault.Draining, "this instance is stopping")
 		}
 		_, err := in.gate.Admit(clock.Now())
@@ -202,38 +200,48 @@
 	return s
 }
 
-// newServer returns a server for operators, targets and metrics collectors.
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: controlIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
+// serveInternal serves operators, targets and metrics collectors.
+func (in *Instance) serveInternal(ctx context.Context, l net.Listener, h http.Handler) error {
+	guard := http1.NewGuard(func() http1.Limits {
+		return http1.Limits{HeaderTimeout: headerTimeout, IdleTimeout: controlIdleTimeout}
+	})
+	return in.serve(ctx, guard.Listener(l), &http.Server{Handler: h, MaxHeaderBytes: maxHeaderBytes}, guard)
 }
 
-// serve serves HTTP on l until ctx ends, then shuts down gracefully within shutdownTimeout.
-func (in *Instance) serve(ctx context.Context, l net.Listener, server *http.Server) error {
+// serve serves HTTP on l, whose connections the guard monitors, until ctx ends. The connections end as the
+// instance stops; see package http1. At the end, requests in progress have shutdownTimeout.
+func (in *Instance) serve(ctx context.Context, l net.Listener, server *http.Server, guard *http1.Guard) error {
+	guard.Attach(server)
 	g := task.New(ctx)
-	g.Go("linger", func(ctx context.Context) error {
-		select {
-		case <-ctx.Done():
-		case <-in.lingering:
-			server.SetKeepAlivesEnabled(false) // further requests are served, then their connections close
+	g.Go("stages", func(ctx context.Context) error {
+		for _, s := range []struct {
+			entered <-chan struct{}
+			end     func()
+		}{{in.stages.leaving, guard.Leave}, {in.stages.closed, guard.CloseIdle}} {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-s.entered:
+				s.end()
+			}
 		}
 		return nil
 	})
-	g.Go("serve", func(context.Context) error {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	g.Go("serve", func(ctx context.Context) error {
+		if err := server.Serve(l); ctx.Err() == nil {
 			return err
 		}
 		return nil
 	})
 	g.Go("shutdown", func(ctx context.Context) error {
 		<-ctx.Done()
+		_ = l.Close() // ends serve; an error means that it was closed before
 		bound, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer cancel()
-		err := server.Shutdown(bound)
-		if errors.Is(err, context.DeadlineExceeded) {
-			// net/http treats a connection without a request yet as active for some seconds.
-			return server.Close()
+		if err := guard.Close(bound); err != nil {
+			in.log.WithField("event", "connections_cut").Warn("requests were still in progress at the end of the shutdown timeout")
 		}
-		return err
+		return server.Close()
 	})
 	return g.Wait()
 }
--- a/internal/caller/http1/guard.go
+++ b/internal/caller/http1/guard.go
@@ -1,8 +1,15 @@
-// Package http1 enforces timeouts on the HTTP/1 connections of callers: for reading a request's
-// header and between requests.
+// Package http1 ends the HTTP/1 connections of callers: those that exceed a timeout, and all of them when the
+// instance stops.
 //
-// net/http has such timeouts too, but fixes them when a server starts. The timeouts here can change
-// with each configuration and apply immediately, also to open connections.
+// A caller may send a request at the moment at which its connection is closed. If the request has been read
+// by then, it runs, and nobody receives its answer. So a connection ends in one of two ways only. Either its
+// answer ends it, which says so with Connection: close. Or the read that waits for the next request ends
+// without any byte, so that there is no request. A connection that is being read or served is never closed
+// under the request. net/http by itself does close such a connection: it takes one for idle until a header has
+// been parsed.
+//
+// net/http also has timeouts, but fixes them when a server starts. The timeouts here can change with each
+// configuration and apply immediately, also to open connections.
 package http1
 
 import (
@@ -20,13 +27,30 @@
 	IdleTimeout   time.Duration // without a request
 }
 
-// Guard closes connections of a server that exceed its limits. It is safe for concurrent use.
+// stage is a stage in the life of a Guard. A guard passes them in this order.
+type stage uint8
+
+const (
+	serving stage = iota
+	leaving       // answers end their connections
+	closing       // idle connections end too
+	gone          // connections that have carried no request end too
+)
+
+// Guard ends connections of a server. It is safe for concurrent use.
 type Guard struct {
 	limits func() Limits
+
+	mu    sync.Mutex
+	stage stage
+	conns map[*conn]struct{}
+	empty chan struct{} // closed when the last connection ends at the stage gone
 }
 
 // NewGuard returns a guard that calls limits whenever a timeout starts to run.
-func NewGuard(limits func() Limits) *Guard { return &Guard{limits: limits} }
+func NewGuard(limits func() Limits) *Guard {
+	return &Guard{limits: limits, conns: map[*conn]struct{}{}, empty: make(chan struct{})}
+}
 
 // Listener returns l with connections that the guard can monitor.
 func (g *Guard) Listener(l net.Listener) net.Listener { return &listener{l, g} }
@@ -38,11 +62,13 @@
 
 // Accept returns the next connection.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	nc, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, guard: l.guard}, nil
+	c := &conn{Conn: nc, guard: l.guard}
+	l.guard.add(c)
+	return c, nil
 }
 
 // Attach connects s to the guard. It must be called before s starts to serve a listener of the
@@ -60,82 +86,92 @@
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
 			if c, ok := guardedConn(c); ok {
-				c.stopTimer()
+				c.requestRead()
+				w = &answer{ResponseWriter: w, conn: c}
 			}
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// connKey is the context key of a request's connection.
-type connKey struct{}
+// Leave makes each further answer end its connection.
+func (g *Guard) Leave() { g.advance(leaving) }
 
-// guardedConn returns the connection below TLS and whether a guard monitors it.
-func guardedConn(c net.Conn) (*conn, bool) {
-	if t, ok := c.(*tls.Conn); ok {
-		c = t.NetConn()
+// CloseIdle also ends the connections that wait for a further request, now and from now on. A new connection
+// still carries one request.
+func (g *Guard) CloseIdle() {
+	for _, c := range g.advance(closing) {
+		c.endIdle(false)
 	}
-	guarded, ok := c.(*conn)
-	return guarded, ok
 }
 
-// conn is a connection with the timer of its current timeout.
-type conn struct {
-	net.Conn
-	guard *Guard
-
-	mu              sync.Mutex
-	timer           *time.Timer
-	awaitingRequest bool // no byte of the next request has arrived
+// Close ends all connections that carry no request, and waits until the others have ended with their answers. The
+// server must not accept connections any more. It returns the error of ctx if that ends first.
+func (g *Guard) Close(ctx context.Context) error {
+	for _, c := range g.advance(gone) {
+		c.endIdle(true)
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-g.empty:
+		return nil
+	}
 }
 
-// Read reads from the connection. The first byte of a request ends the idle timeout and starts the
-// header timeout.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.requestStarted()
+// advance enters a stage and returns the open connections.
+func (g *Guard) advance(to stage) []*conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stage = max(g.stage, to)
+	g.checkEmpty()
+	all := make([]*conn, 0, len(g.conns))
+	for c := range g.conns {
+		all = append(all, c)
 	}
-	return n, err
+	return all
 }
 
-func (c *conn) requestStarted() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.awaitingRequest {
-		c.awaitingRequest = false
-		c.startTimer(c.guard.limits().HeaderTimeout)
-	}
+// current returns the stage that the guard is in.
+func (g *Guard) current() stage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stage
 }
 
-// stateChanged follows the connection's state in net/http. The connection becomes active only after
-// a header was read; the handler stops the timer then.
-func (c *conn) stateChanged(state http.ConnState) {
-	switch state {
-	case http.StateNew, http.StateIdle:
-		c.mu.Lock()
-		c.awaitingRequest = true
-		c.startTimer(c.guard.limits().IdleTimeout)
-		c.mu.Unlock()
-	case http.StateHijacked, http.StateClosed:
-		c.stopTimer()
-	}
+func (g *Guard) add(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.conns[c] = struct{}{}
 }
 
-// startTimer starts a timeout. c.mu is held.
-func (c *conn) startTimer(limit time.Duration) {
-	if c.timer != nil {
-		c.timer.Reset(limit)
+func (g *Guard) remove(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.conns, c)
+	g.checkEmpty()
+}
+
+// checkEmpty tells Close that no connection is open. g.mu is held.
+func (g *Guard) checkEmpty() {
+	if g.stage < gone || len(g.conns) > 0 {
 		return
 	}
-	c.timer = time.AfterFunc(limit, func() { _ = c.Close() }) // the server's pending read fails
+	select {
+	case <-g.empty:
+	default:
+		close(g.empty)
+	}
 }
 
-func (c *conn) stopTimer() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.awaitingRequest = false
-	if c.timer != nil {
-		c.timer.Stop()
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// guardedConn returns the connection below TLS and whether a guard monitors it.
+func guardedConn(c net.Conn) (*conn, bool) {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
 	}
+	guarded, ok := c.(*conn)
+	return guarded, ok
 }
--- a/internal/caller/http1/guard_test.go
+++ b/internal/caller/http1/guard_test.go
@@ -15,6 +15,12 @@
 
 // dial returns a connection to a server with a guard whose limits can be changed.
 func dial(t *testing.T, limits *atomic.Pointer[Limits]) net.Conn {
+	t.Helper()
+	return dialGuard(t, NewGuard(func() Limits { return *limits.Load() }))
+}
+
+// dialGuard returns a connection to a server with a guard.
+func dialGuard(t *testing.T, g *Guard) net.Conn {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -26,7 +32,6 @@
 		}
 		_, _ = io.WriteString(w, "ok") // the test reads it or fails
 	})}
-	g := NewGuard(func() Limits { return *limits.Load() })
 	g.Attach(s)
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(g.Listener(l)) }()
@@ -47,8 +52,8 @@
 	long  = time.Minute
 )
 
-// closed reports whether the server closes the connection without a response.
-func closed(c net.Conn) bool {
+// closedByServer reports whether the server closes the connection without a response.
+func closedByServer(c net.Conn) bool {
 	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
 	n, err := c.Read(make([]byte, 1))
 	return n == 0 && err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
@@ -103,7 +108,7 @@
 				ask(t, c, "/")
 				return
 			}
-			if !closed(c) {
+			if !closedByServer(c) {
 				t.Error("connection was not closed")
 			}
 		})
@@ -118,7 +123,7 @@
 	ask(t, c, "/")
 	limits.Store(&Limits{HeaderTimeout: long, IdleTimeout: short})
 	ask(t, c, "/")
-	if !closed(c) {
+	if !closedByServer(c) {
 		t.Error("connection was not closed")
 	}
 }
