--- a/dispatch/backend.go
+++ b/dispatch/backend.go
@@ -10,6 +10,7 @@
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/permit"
+	"github.com/hickoryridge/hickoryridge/internal/target/http1"
 	"github.com/hickoryridge/hickoryridge/router"
 )
 
@@ -32,6 +33,8 @@
 	// BegunBy is the id of the request that brought the first event of the stream that the caller takes
 	// up; empty if it takes up none.
 	BegunBy string
+	// Calls records the calls of this request to targets, which carry the same ID.
+	Calls http1.Calls
 }
 
 // Call is one attempt at sending a forwarded request to a target.
--- a/internal/target/http1/client.go
+++ b/internal/target/http1/client.go
@@ -12,12 +12,18 @@
 // whole request has been written and no byte is left over. Before reuse the client checks
 // whether the target has sent bytes or closed the connection in the meantime. If so, it
 // closes the connection, because such bytes belong to no request.
+//
+// A faulty target may send a response once more, at the point where the next one is expected. A
+// response is matched by its request's id, so it cannot be taken for that of another request. But
+// calls of one request carry the same id. So each of them uses another connection (see Calls), and
+// a request without an id uses one that has carried no request before.
 package http1
 
 import (
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,6 +76,27 @@
 	// carried no request before, so that it cannot be the response to another one. If Matches is
 	// nil, every response is accepted.
 	Matches func(h http.Header, first bool) bool
+	// Calls records the calls of the request that this one belongs to; nil if it is the only one.
+	Calls *Calls
+}
+
+// Calls records the connections that have carried calls of one request. The zero value is ready to use.
+// It is not safe for concurrent use.
+type Calls struct{ conns []connID }
+
+// mayUse reports whether a response on an idle connection can only be that to r.
+func (r *Request) mayUse(cn *conn) bool {
+	if r.Matches == nil {
+		return !cn.used
+	}
+	return r.Calls == nil || !slices.Contains(r.Calls.conns, cn.id)
+}
+
+// uses records that r goes on a connection.
+func (r *Request) uses(cn *conn) {
+	if r.Calls != nil {
+		r.Calls.conns = append(r.Calls.conns, cn.id)
+	}
 }
 
 // NotSentError reports that no byte of a request was sent, so that the target cannot have
@@ -175,26 +202,33 @@
 	}
 }
 
-// takeIdle removes and returns an idle connection to addr that is still usable, or nil if
+// takeIdle removes and returns an idle connection to addr that is still usable for r, or nil if
 // there is none. It closes the unusable ones that it finds.
-func (c *Client) takeIdle(addr string) *conn {
+func (c *Client) takeIdle(addr string, r *Request) *conn {
 	for {
-		c.mu.Lock()
-		conns := c.idle[addr]
-		if len(conns) == 0 {
-			c.mu.Unlock()
-			return nil
-		}
-		cn := conns[len(conns)-1]
-		c.idle[addr] = conns[:len(conns)-1]
-		c.mu.Unlock()
-		if clock.Now().Before(cn.expires) && cn.stillIdle() {
+		cn := c.popIdle(addr, r)
+		if cn == nil || clock.Now().Before(cn.expires) && cn.stillIdle() {
 			return cn
 		}
 		cn.close()
 	}
 }
 
+// popIdle removes and returns the idle connection to addr that was used last of those that r may use. It
+// returns nil if there is none.
+func (c *Client) popIdle(addr string, r *Request) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conns := c.idle[addr]
+	for i := len(conns) - 1; i >= 0; i-- {
+		if cn := conns[i]; r.mayUse(cn) {
+			c.idle[addr] = slices.Delete(conns, i, i+1)
+			return cn
+		}
+	}
+	return nil
+}
+
 // putIdle returns a connection to the pool for at most the given time, or closes it if the
 // pool is full.
 func (c *Client) putIdle(cn *conn, idle time.Duration) {
@@ -224,9 +258,9 @@
 	return nil
 }
 
-// connect returns an idle connection to addr, or opens a new one.
-func (c *Client) connect(ctx context.Context, addr string) (*conn, error) {
-	if cn := c.takeIdle(addr); cn != nil {
+// connect returns an idle connection to addr for r, or opens a new one.
+func (c *Client) connect(ctx context.Context, addr string, r *Request) (*conn, error) {
+	if cn := c.takeIdle(addr, r); cn != nil {
 		return cn, nil
 	}
 	return c.open(ctx, addr)
@@ -240,15 +274,16 @@
 	}
 	c.mu.Lock()
 	c.opened++
+	id := connID(c.opened)
 	c.mu.Unlock()
-	return newConn(addr, nc), nil
+	return newConn(id, addr, nc), nil
 }
 
 // Do sends a request and returns its response, which must be closed. Cancelling ctx aborts
 // the request, also while the body is read. The error is a *NotSentError or a
 // *NoResponseError.
 func (c *Client) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
-	cn, err := c.connect(ctx, addr)
+	cn, err := c.connect(ctx, addr, r)
 	if err != nil {
 		return nil, &NotSentError{err}
 	}
@@ -256,6 +291,7 @@
 		c.putIdle(cn, c.opts.IdleTimeout)
 		return nil, &NotSentError{err}
 	}
+	r.uses(cn)
 	x := &exchange{client: c, conn: cn, request: r}
 	x.stopWatch = context.AfterFunc(ctx, cn.close)
 	response, err := x.run()
--- a/internal/target/http1/client_test.go
+++ b/internal/target/http1/client_test.go
@@ -169,6 +169,44 @@
 	}
 }
 
+// TestRepeatedResponse guards against a response that is taken for that to a later request, because the target
+// wrote it once more: to a request without an id, and to another call of the same request.
+func TestRepeatedResponse(t *testing.T) {
+	respond := func(body string) script {
+		return send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n" + body)
+	}
+	repeat := func(c net.Conn, r *http.Request) bool {
+		respond("old")(c, r)
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return false // another connection is used
+		}
+		respond("old")(c, r)
+		return respond("new")(c, r)
+	}
+	var calls Calls
+	for name, r := range map[string]*Request{
+		"no id":        {Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}},
+		"same request": {Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, Calls: &calls, Matches: func(http.Header, bool) bool { return true }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tg := newTarget(t, repeat, respond("new"))
+			c := New(Options{})
+			defer c.Close()
+			for _, want := range []string{"old", "new"} {
+				response, err := c.Do(t.Context(), tg.addr, r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, err := io.ReadAll(response)
+				_ = response.Close()
+				if string(body) != want || err != nil {
+					t.Errorf("response %q, %v, want %q", body, err, want)
+				}
+			}
+		})
+	}
+}
+
 // TestClosedWhileKept checks that a request is not sent over an idle connection that the
 // target has closed or written to in the meantime.
 func TestClosedWhileKept(t *testing.T) {
--- a/internal/target/http1/conn.go
+++ b/internal/target/http1/conn.go
@@ -12,8 +12,12 @@
 
 const readBufferBytes = 4 << 10
 
+// connID identifies a connection of a client.
+type connID uint64
+
 // conn is a connection to a target.
 type conn struct {
+	id      connID
 	addr    string
 	net     net.Conn
 	head    *headReader
@@ -22,9 +26,9 @@
 	used    bool          // has carried a request before the current one
 }
 
-func newConn(addr string, c net.Conn) *conn {
+func newConn(id connID, addr string, c net.Conn) *conn {
 	head := &headReader{r: c, remaining: unbounded}
-	return &conn{addr: addr, net: c, head: head, r: bufio.NewReaderSize(head, readBufferBytes)}
+	return &conn{id: id, addr: addr, net: c, head: head, r: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
 // maxHeadBytes limits the bytes before a response body, because a faulty target may send
