A plain request of the own interface gets no answer to another one

What callers saw: the answer to another caller's request, when a plain service wrote a response once more at the point where the next one is expected.

Change: each request uses a connection of its own, as those that run once did already.

Test: plain.TestRepeatedResponse fails before ("request /second got the response to /first"), passes now.

--- a/plain/forward.go
+++ b/plain/forward.go
@@ -1,10 +1,10 @@
 // Package plain is an HTTP client that forwards requests to plain services, unchanged except for
 // hop-by-hop headers.
 //
-// A request that may be repeated uses pooled connections. A request that may run at most once uses
-// a separate connection, for two reasons: the standard transport silently repeats some requests on
-// reused connections, including every request with an Idempotency-Key; and only a separate
-// connection shows whether a byte was sent.
+// Each request uses a connection of its own. A response names no request, so on a connection that is used
+// again, one that the service writes once more cannot be told from the response to the next request. Besides,
+// the standard transport silently repeats some requests on reused connections, including every request with an
+// Idempotency-Key, and only a separate connection shows whether a byte was sent.
 package plain
 
 import (
@@ -22,9 +22,7 @@
 
 // Bounds of the protocol.
 const (
-	dialTimeout     = 2 * time.Second
-	idleConnTimeout = 30 * time.Second
-	maxIdlePerHost  = 64
+	dialTimeout = 2 * time.Second
 	// MaxResponseBytes is the maximum length of a response body.
 	MaxResponseBytes = 32 << 20
 )
@@ -74,19 +72,16 @@
 	http *http.Client
 }
 
-// NewClient returns a client with a connection pool of its own.
+// NewClient returns a client.
 func NewClient() *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
 	return &Client{http: &http.Client{
-		Transport: &http.Transport{
-			DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdlePerHost,
-			IdleConnTimeout: idleConnTimeout, DisableCompression: true,
-		},
+		Transport:     &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
 
-// Close closes idle connections.
+// Close closes connections that were opened and not used.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 func newRequest(ctx context.Context, addr string, r Request) (*http.Request, error) {
