A stopped instance does not report its closed listener as an error

Cause: the end of a server closes its listener first, and net/http's Close, which comes after the connections have ended, then returned "use of closed network connection".

The test now waits until all instances are ready.

--- a/e2e/signals_test.go
+++ b/e2e/signals_test.go
@@ -46,6 +46,9 @@
 // answered, and the process must exit with code 0. It is started again.
 func (c *cluster) stopWith(t *testing.T, node int, key string, signals []syscall.Signal) {
 	const payments = 4
+	for i := range c.nodes {
+		c.awaitReady(i) // each needs the voter, which may have just started
+	}
 	c.services[0].SetFault(standin.ServiceFault{Count: payments, Delay: time.Second})
 	answers := make(chan response, payments)
 	for n := range payments {
@@ -65,7 +68,6 @@
 		t.Errorf("exit: %v", err)
 	}
 	c.start(node)
-	c.awaitReady(node)
 }
 
 // running returns the number of requests that an instance is running, or -1 if it does not say.
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -241,7 +241,8 @@
 		if err := guard.Close(bound); err != nil {
 			in.log.WithField("event", "connections_cut").Warn("requests were still in progress at the end of the shutdown timeout")
 		}
-		return server.Close()
+		_ = server.Close() // the listener has been closed
+		return nil
 	})
 	return g.Wait()
 }
