--- a/dispatch/buffers_test.go
+++ b/dispatch/buffers_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/internal/host/budget"
 	"github.com/hickoryridge/hickoryridge/router"
 )
 
@@ -29,33 +30,48 @@
 // Close does nothing.
 func (e *endlessBody) Close() error { return nil }
 
+const minBuffer = int(budget.MinBuffer)
+
 // TestBuffersAreBounded checks that bodies within the bounds are read completely, and that neither
 // a body without an end nor many bodies together exceed the bounds.
 func TestBuffersAreBounded(t *testing.T) {
-	var b answerBuffers
-	for _, n := range []int{0, 1, minBufferBytes, minBufferBytes + 1, 3 << 20} {
+	b := budget.New(48 << 20)
+	read := func(source string, body io.Reader) ([]byte, error) {
+		account := b.Account(source, budget.MinBuffer)
+		defer account.Release()
+		return budget.ReadAll(body, maxAnswerBytes, &account)
+	}
+	for _, n := range []int{0, 1, minBuffer, minBuffer + 1, 3 << 20} {
 		want := bytes.Repeat([]byte("x"), n)
-		if got, err := b.readAll(bytes.NewReader(want)); err != nil || !bytes.Equal(got, want) {
+		if got, err := read("a", bytes.NewReader(want)); err != nil || !bytes.Equal(got, want) {
 			t.Errorf("body of %d bytes: read %d, error %v", n, len(got), err)
 		}
 	}
 	errTruncated := errors.New("truncated")
-	if _, err := b.readAll(io.MultiReader(bytes.NewReader([]byte("x")), &failingReader{errTruncated})); !errors.Is(err, errTruncated) {
+	if _, err := read("a", io.MultiReader(bytes.NewReader([]byte("x")), &failingReader{errTruncated})); !errors.Is(err, errTruncated) {
 		t.Errorf("truncated body: %v", err)
 	}
 	body := &endlessBody{fill: 'x'}
-	if _, err := b.readAll(body); !fault.Is(err, fault.TooLarge) || body.read > 2*maxAnswerBytes {
+	if _, err := read("a", body); !fault.Is(err, fault.TooLarge) || body.read > 2*maxAnswerBytes {
 		t.Errorf("endless body: %v after %d bytes", err, body.read)
 	}
-	b.bytes.Add(maxBufferedBytes - 2*minBufferBytes)
-	if _, err := b.readAll(&endlessBody{}); !fault.Is(err, fault.TooLarge) {
-		t.Errorf("endless body beside others: %v", err)
+	others := []budget.Account{b.Account("b", 0), b.Account("c", 0)}
+	for i := range others {
+		if !others[i].Hold(24<<20 - budget.MinBuffer) {
+			t.Fatal("the budget is not free")
+		}
 	}
-	if got, err := b.readAll(bytes.NewReader([]byte("short"))); err != nil || string(got) != "short" {
+	body = &endlessBody{}
+	if _, err := read("a", body); !fault.Is(err, fault.TooLarge) || body.read > 4*minBuffer {
+		t.Errorf("endless body beside others: %v after %d bytes", err, body.read)
+	}
+	if got, err := read("a", bytes.NewReader([]byte("short"))); err != nil || string(got) != "short" {
 		t.Errorf("short body beside others: %q, %v", got, err)
 	}
-	b.bytes.Add(-(maxBufferedBytes - 2*minBufferBytes))
-	if n := b.bytes.Load(); n != 0 {
+	for i := range others {
+		others[i].Release()
+	}
+	if n := b.Drawn(); n != 0 {
 		t.Errorf("%d bytes are still counted", n)
 	}
 }
--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -9,15 +9,13 @@
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/host/budget"
 	"github.com/hickoryridge/hickoryridge/internal/target/sse"
 )
 
 const (
 	// maxAnswerBytes bounds an answer that is not streamed.
 	maxAnswerBytes = 32 << 20
-	// maxBufferedBytes bounds all such answers that are being read, taken together, so that targets
-	// which send bytes without end cannot exhaust the instance's memory.
-	maxBufferedBytes = 48 << 20
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
 	// streamReadBytes is the size of one read from a stream.
@@ -26,7 +24,9 @@
 
 // relayWhole reads an answer to its end before it sends any of it to the sink.
 func (r *forwardRun) relayWhole(ctx context.Context, a *Assignment, answer Answered) (retry bool, err error) {
-	body, err := r.d.buffers.readAll(answer.Body)
+	account := r.d.cfg.Answers.Account(a.Address, budget.MinBuffer)
+	defer account.Release()
+	body, err := budget.ReadAll(answer.Body, maxAnswerBytes, &account)
 	if err != nil {
 		return r.handleTruncated(ctx, a, err)
 	}
@@ -91,6 +91,8 @@
 // relayStream sends complete events to the sink as they arrive.
 func (r *forwardRun) relayStream(ctx context.Context, a *Assignment, answer Answered) (retry bool, err error) {
 	var splitter sse.Splitter
+	account := r.d.cfg.Answers.Account(a.Address, 2*streamReadBytes)
+	defer account.Release()
 	buf := make([]byte, streamReadBytes)
 	for {
 		n, err := answer.Body.Read(buf)
@@ -98,6 +100,9 @@
 		if splitter.Buffered() > maxEventBytes+streamReadBytes {
 			return r.handleTruncated(ctx, a, fault.New(fault.TooLarge, "stream event exceeds %d bytes", maxEventBytes))
 		}
+		if !account.Hold(ident.Bytes(splitter.Size())) {
+			return r.handleTruncated(ctx, a, fault.New(fault.TooLarge, "stream events that are kept exceed their budget"))
+		}
 		if events, id := splitter.Take(); events != nil {
 			if id != "" {
 				r.lastEventID = id
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/host/budget"
 	"github.com/hickoryridge/hickoryridge/metrics"
 	"github.com/hickoryridge/hickoryridge/peer"
 	"github.com/hickoryridge/hickoryridge/plain"
@@ -45,6 +46,8 @@
 	Metrics    *metrics.Metrics
 	Log        *logrus.Entry
 	MaxRunning int // bound on requests in progress for each service
+	// Answers bounds what is kept of targets' answers. It may be nil.
+	Answers *budget.Budget
 	// Retries bounds the retries of each service across all instances. If its window is zero, each
 	// instance has its own budget instead.
 	Retries admit.RetryLimit
@@ -55,7 +58,6 @@
 	cfg       Config
 	admission *admissionQueues
 	demand    *demandCounter
-	buffers   answerBuffers // answers that are read to their end before they are sent
 	started   clock.Time
 
 	mu            sync.Mutex
--- a/dispatch/plain_test.go
+++ b/dispatch/plain_test.go
@@ -20,7 +20,7 @@
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
 	d := newFactsDispatcher(t, &scriptedBackend{crashed: crashed}, "")
-	d.cfg.Plain = plain.NewClient()
+	d.cfg.Plain = plain.NewClient(nil)
 	t.Cleanup(d.cfg.Plain.Close)
 	a := d.cfg.Targets.Records()[0].Announcement
 	a.Sequence++
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -24,6 +24,7 @@
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
+	"github.com/hickoryridge/hickoryridge/internal/host/budget"
 	"github.com/hickoryridge/hickoryridge/internal/net/cert"
 	"github.com/hickoryridge/hickoryridge/internal/net/tcp"
 	"github.com/hickoryridge/hickoryridge/internal/target/http1"
@@ -50,32 +51,35 @@
 
 // Instance is one instance of the system. New creates it and Run serves.
 type Instance struct {
-	settings       *settings.Settings
-	boot           ident.BootID
-	log            *logrus.Entry
-	peerCert       *cert.Reloader // nil for plain TCP
-	callerCert     *cert.Reloader // nil for plain TCP
-	listeners      listeners
-	network        *peer.Network
-	roster         *roster
-	voter          *voter // nil if the instance is not a voter
-	leader         *leaderClient
-	gate           *dispatch.Gate
-	targetPool     *dispatch.TargetPool
-	engines        *engine.Client
-	plain          *plain.Client
-	targetClient   *http1.Client // sends forwarded requests
-	directClient   *http1.Client // sends orders in the protocol of the platform, never through another instance
-	link           *linkClient   // opens the connections of targetClient
-	receipts       *receipt.Runner
-	dispatcher     *dispatch.Dispatcher
-	placerClient   *placerClient    // nil if this instance selects targets itself
-	placer         *dispatch.Placer // selects targets for other instances; nil if disabled
-	factClient     *factClient      // shares facts through a voter; nil if disabled
-	factHub        *factHub         // the facts at this voter; nil if disabled or no voter
-	metrics        *metrics.Metrics
-	stages         stages
-	latestSettings atomic.Pointer[settings.Settings] // most recent settings
+	settings     *settings.Settings
+	boot         ident.BootID
+	log          *logrus.Entry
+	peerCert     *cert.Reloader // nil for plain TCP
+	callerCert   *cert.Reloader // nil for plain TCP
+	listeners    listeners
+	network      *peer.Network
+	roster       *roster
+	voter        *voter // nil if the instance is not a voter
+	leader       *leaderClient
+	gate         *dispatch.Gate
+	targetPool   *dispatch.TargetPool
+	engines      *engine.Client
+	plain        *plain.Client
+	targetClient *http1.Client // sends forwarded requests
+	directClient *http1.Client // sends orders in the protocol of the platform, never through another instance
+	link         *linkClient   // opens the connections of targetClient
+	receipts     *receipt.Runner
+	dispatcher   *dispatch.Dispatcher
+	placerClient *placerClient    // nil if this instance selects targets itself
+	placer       *dispatch.Placer // selects targets for other instances; nil if disabled
+	factClient   *factClient      // shares facts through a voter; nil if disabled
+	factHub      *factHub         // the facts at this voter; nil if disabled or no voter
+	metrics      *metrics.Metrics
+	// requestMemory and answerMemory bound what is kept of the requests of callers, operators and targets, and
+	// of targets' answers.
+	requestMemory, answerMemory *budget.Budget
+	stages                      stages
+	latestSettings              atomic.Pointer[settings.Settings] // most recent settings
 	// confirmedView is the newest view that this instance has confirmed to the leader. It is owned
 	// by the lease task.
 	confirmedView state.Version
@@ -101,9 +105,9 @@
 		log:     logger.WithFields(logrus.Fields{"instance": s.Instance}),
 		gate:    dispatch.NewGate(),
 		engines: engine.NewClient(s.IdleLimit()),
-		plain:   plain.NewClient(),
-		metrics: metrics.New(),
+		metrics: metrics.New(), requestMemory: budget.New(s.RequestMemory()), answerMemory: budget.New(s.AnswerMemory()),
 	}
+	in.plain = plain.NewClient(in.answerMemory)
 	in.latestSettings.Store(s)
 	if err := in.loadTLS(); err != nil {
 		return nil, err
@@ -114,8 +118,8 @@
 	in.targetPool = dispatch.NewTargetPool(routing(s), in.gate, target.RunID(rand.Uint64()|1))
 	in.targetPool.SetMaxLease(s.TargetLease())
 	in.link = newLinkClient(in)
-	in.targetClient = http1.New(http1.Options{Dial: in.link.dial, Broken: in.link.broken})
-	in.directClient = http1.New(http1.Options{})
+	in.targetClient = http1.New(http1.Options{Dial: in.link.dial, Broken: in.link.broken, Heads: in.answerMemory})
+	in.directClient = http1.New(http1.Options{Heads: in.answerMemory})
 	peers := map[ident.InstanceID]string{}
 	for _, p := range s.Peers {
 		peers[p.Instance] = p.Address
@@ -142,7 +146,7 @@
 	}
 	in.dispatcher = dispatch.New(dispatch.Config{
 		Instance: s.Instance, Boot: boot, Gate: in.gate, Targets: in.targetPool, Engines: in.engines,
-		Plain: in.plain, Backend: &platform.Backend{Client: in.targetClient, Log: in.log}, Receipts: in.receipts, Metrics: in.metrics, Log: in.log, MaxRunning: s.RunningLimit(),
+		Plain: in.plain, Backend: &platform.Backend{Client: in.targetClient, Log: in.log}, Receipts: in.receipts, Metrics: in.metrics, Log: in.log, MaxRunning: s.RunningLimit(), Answers: in.answerMemory,
 		Placement: in.placing(), Facts: in.facts(), Origins: in.origins(), Doubtful: in.link.doubtful,
 		Retries: admit.RetryLimit{Ratio: s.Retries.Ratio, Window: s.Retries.Window.AsDuration(), Slack: s.Retries.Slack},
 	})
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -39,7 +39,7 @@
 
 func (in *Instance) serveCallers(ctx context.Context) error {
 	l := in.listeners.callers
-	guard := http1.NewGuard(in.connectionLimits)
+	guard := http1.NewGuard(in.connectionLimits, in.requestMemory)
 	server := &http.Server{Handler: in.callerHandler(), MaxHeaderBytes: desired.MaxHeaderBytes}
 	l = guard.Listener(l)
 	if in.callerCert != nil {
@@ -204,7 +204,7 @@
 func (in *Instance) serveInternal(ctx context.Context, l net.Listener, h http.Handler) error {
 	guard := http1.NewGuard(func() http1.Limits {
 		return http1.Limits{HeaderTimeout: headerTimeout, IdleTimeout: controlIdleTimeout}
-	})
+	}, in.requestMemory)
 	return in.serve(ctx, guard.Listener(l), &http.Server{Handler: h, MaxHeaderBytes: maxHeaderBytes}, guard)
 }
 
--- a/internal/caller/http1/conn.go
+++ b/internal/caller/http1/conn.go
@@ -1,10 +1,14 @@
 package http1
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/host/budget"
 )
 
 // conn is a connection with the timer of its current timeout. Only the goroutine that reads it for the parser
@@ -21,6 +25,8 @@
 	reading         bool // a read waits for bytes
 	ending          bool // the parser receives no further byte, unless it is the first one of a request
 	last            bool // the next answer ends the connection
+	header          budget.Account
+	headerBytes     ident.Bytes // memory for the header that is being read
 }
 
 // past is a read deadline that ends a pending read. Bytes that have arrived are returned first.
@@ -34,7 +40,7 @@
 		return 0, net.ErrClosed
 	}
 	n, err := c.Conn.Read(p)
-	if !c.endRead(n) {
+	if !c.endRead(p[:n]) {
 		return 0, net.ErrClosed
 	}
 	return n, err
@@ -48,14 +54,19 @@
 	return c.reading
 }
 
-// endRead records that a read has returned n bytes, and reports whether the parser may have them.
-func (c *conn) endRead(n int) bool {
+// endRead records that a read has returned bytes, and reports whether the parser may have them.
+func (c *conn) endRead(p []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	if n == 0 || c.serving {
+	if len(p) == 0 || c.serving {
 		return true
 	}
+	c.headerBytes += ident.Bytes(len(p) + headerLineBytes*bytes.Count(p, []byte{'\n'}))
+	if !c.header.Hold(c.headerBytes) {
+		c.ending, c.awaitingRequest = true, false // no request has been read
+		return false
+	}
 	if !c.awaitingRequest {
 		return !c.ending
 	}
@@ -95,6 +106,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving, c.awaitingRequest = false, true
+	c.releaseHeader()
 	stage := c.guard.current() // if it advances now, endIdle follows
 	if stage >= gone || stage >= closing && c.used {
 		c.end()
@@ -153,6 +165,12 @@
 	}
 }
 
+// releaseHeader forgets the header of the request before. c.mu is held.
+func (c *conn) releaseHeader() {
+	c.headerBytes = 0
+	c.header.Release()
+}
+
 // endsWithAnswer reports whether the answer that begins ends the connection.
 func (c *conn) endsWithAnswer() bool {
 	if c.guard.current() >= leaving {
@@ -166,6 +184,9 @@
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.guard.remove(c)
+	c.mu.Lock()
+	c.releaseHeader()
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
--- a/internal/caller/http1/guard.go
+++ b/internal/caller/http1/guard.go
@@ -19,6 +19,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/hickoryridge/hickoryridge/internal/host/budget"
 )
 
 // Limits holds the timeouts of a connection.
@@ -37,9 +39,10 @@
 	gone          // connections that have carried no request end too
 )
 
-// Guard ends connections of a server. It is safe for concurrent use.
+// Guard ends connections of a server, and bounds what callers send on them. It is safe for concurrent use.
 type Guard struct {
 	limits func() Limits
+	memory *budget.Budget
 
 	mu    sync.Mutex
 	stage stage
@@ -47,9 +50,10 @@
 	empty chan struct{} // closed when the last connection ends at the stage gone
 }
 
-// NewGuard returns a guard that calls limits whenever a timeout starts to run.
-func NewGuard(limits func() Limits) *Guard {
-	return &Guard{limits: limits, conns: map[*conn]struct{}{}, empty: make(chan struct{})}
+// NewGuard returns a guard that calls limits whenever a timeout starts to run. The headers and bodies of requests
+// draw on memory, which may be nil, until they are answered.
+func NewGuard(limits func() Limits, memory *budget.Budget) *Guard {
+	return &Guard{limits: limits, memory: memory, conns: map[*conn]struct{}{}, empty: make(chan struct{})}
 }
 
 // Listener returns l with connections that the guard can monitor.
@@ -66,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, guard: l.guard}
+	c := &conn{Conn: nc, guard: l.guard, header: l.guard.memory.Account(hostOf(nc), freeHeaderBytes)}
 	l.guard.add(c)
 	return c, nil
 }
@@ -88,6 +92,9 @@
 			if c, ok := guardedConn(c); ok {
 				c.requestRead()
 				w = &answer{ResponseWriter: w, conn: c}
+				body := g.memory.Account(hostOf(c), freeBodyBytes)
+				defer body.Release()
+				r.Body = &countedBody{ReadCloser: r.Body, account: &body}
 			}
 		}
 		next.ServeHTTP(w, r)
--- a/internal/caller/http1/guard_test.go
+++ b/internal/caller/http1/guard_test.go
@@ -16,7 +16,7 @@
 // dial returns a connection to a server with a guard whose limits can be changed.
 func dial(t *testing.T, limits *atomic.Pointer[Limits]) net.Conn {
 	t.Helper()
-	return dialGuard(t, NewGuard(func() Limits { return *limits.Load() }))
+	return dialGuard(t, NewGuard(func() Limits { return *limits.Load() }, nil))
 }
 
 // dialGuard returns a connection to a server with a guard.
--- a/internal/caller/http1/stop_test.go
+++ b/internal/caller/http1/stop_test.go
@@ -115,7 +115,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			g := NewGuard(func() Limits { return Limits{HeaderTimeout: long, IdleTimeout: long} })
+			g := NewGuard(func() Limits { return Limits{HeaderTimeout: long, IdleTimeout: long} }, nil)
 			c, answers := newPlacedConn()
 			serve(t, g, c)
 			go c.deliver(simpleRequest)
@@ -188,7 +188,7 @@
 		"gone twice, then closed": {true, func(g *Guard) { closeGuard(g); closeGuard(g); g.CloseIdle() }, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			g := NewGuard(func() Limits { return Limits{HeaderTimeout: long, IdleTimeout: long} })
+			g := NewGuard(func() Limits { return Limits{HeaderTimeout: long, IdleTimeout: long} }, nil)
 			c := dialGuard(t, g)
 			if test.used {
 				ask(t, c, "/")
@@ -220,7 +220,7 @@
 
 // TestCloseWaits checks that a request in progress delays the end, is answered, and ends its connection.
 func TestCloseWaits(t *testing.T) {
-	g := NewGuard(func() Limits { return Limits{HeaderTimeout: long, IdleTimeout: long} })
+	g := NewGuard(func() Limits { return Limits{HeaderTimeout: long, IdleTimeout: long} }, nil)
 	c := dialGuard(t, g)
 	if _, err := io.WriteString(c, strings.Replace(simpleRequest, "/", "/slow", 1)); err != nil {
 		t.Fatal(err)
--- a/internal/reply/reply.go
+++ b/internal/reply/reply.go
@@ -102,7 +102,7 @@
 const bodyReadTimeout = 30 * time.Second
 
 // ReadBody reads a request's body of up to limit bytes. Its errors are of kind
-// fault.TooLarge or fault.BadRequest.
+// fault.TooLarge, fault.BadRequest, or fault.Overloaded if the bodies of all requests are too large.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	// Not every ResponseWriter supports deadlines. The body's length is bounded in any case.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
@@ -112,6 +112,9 @@
 	if errors.As(err, &tooLarge) {
 		return nil, fault.New(fault.TooLarge, "request body exceeds %d bytes", tooLarge.Limit)
 	}
+	if fault.Is(err, fault.Overloaded) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, fault.New(fault.BadRequest, "cannot read request body: %v", err)
 	}
--- a/internal/target/http1/client.go
+++ b/internal/target/http1/client.go
@@ -28,6 +28,7 @@
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/host/budget"
 	"github.com/hickoryridge/hickoryridge/internal/net/tcp"
 )
 
@@ -43,6 +44,8 @@
 	// IdleTimeout is how long an idle connection is kept if the target sends no Keep-Alive
 	// timeout.
 	IdleTimeout time.Duration
+	// Heads bounds the memory for the heads of all responses. It may be nil.
+	Heads *budget.Budget
 	// MaxIdlePerTarget is the number of idle connections that are kept per target.
 	MaxIdlePerTarget int
 }
@@ -276,7 +279,7 @@
 	c.opened++
 	id := connID(c.opened)
 	c.mu.Unlock()
-	return newConn(id, addr, nc), nil
+	return newConn(id, addr, nc, c.opts.Heads), nil
 }
 
 // Do sends a request and returns its response, which must be closed. Cancelling ctx aborts
@@ -298,6 +301,7 @@
 	if err != nil {
 		x.stopWatch()
 		cn.close()
+		cn.head.release()
 		if c.opts.Broken != nil && ctx.Err() == nil {
 			c.opts.Broken(addr)
 		}
--- a/internal/target/http1/conn.go
+++ b/internal/target/http1/conn.go
@@ -7,7 +7,9 @@
 	"net"
 	"syscall"
 
+	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/host/budget"
 )
 
 const readBufferBytes = 4 << 10
@@ -26,38 +28,80 @@
 	used    bool          // has carried a request before the current one
 }
 
-func newConn(id connID, addr string, c net.Conn) *conn {
-	head := &headReader{r: c, remaining: unbounded}
+func newConn(id connID, addr string, c net.Conn, heads *budget.Budget) *conn {
+	head := &headReader{r: c, account: heads.Account(addr, freeHeadBytes)}
 	return &conn{id: id, addr: addr, net: c, head: head, r: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
-// maxHeadBytes limits the bytes before a response body, because a faulty target may send
-// headers without end.
-const maxHeadBytes = 256 << 10
-
-// unbounded is the limit of a headReader while a body is read.
-const unbounded = -1
+const (
+	// maxHeadBytes limits the memory for the heads before a response body, because a faulty target may send
+	// headers without end.
+	maxHeadBytes = 256 << 10
+	// headerLineBytes is the memory for one header besides its text.
+	headerLineBytes = 128
+	// freeHeadBytes is the memory for a head that draws on no budget.
+	freeHeadBytes = 8 << 10
+)
 
-// errHeadTooLarge reports a response head of more than maxHeadBytes.
-var errHeadTooLarge = errors.New("response head exceeds 256 KiB")
+var (
+	// errHeadTooLarge reports a response head of more than maxHeadBytes.
+	errHeadTooLarge = errors.New("response head exceeds 256 KiB of memory")
+	// errHeads reports that all response heads together exceed the budget.
+	errHeads = errors.New("response heads exceed their budget")
+)
 
-// headReader limits the number of bytes read while a response head is expected.
+// headReader limits the memory for the response heads that are read from it.
 type headReader struct {
-	r         io.Reader
-	remaining int // bytes, or unbounded
+	r       io.Reader
+	account budget.Account
+	limited bool        // a head is expected, rather than a body
+	kept    ident.Bytes // memory for the heads of the current exchange
+	line    int         // length of the current line
 }
 
-// Read reads from the connection. It returns errHeadTooLarge beyond the limit.
+// Read reads from the connection. It returns errHeadTooLarge or errHeads beyond the limits.
 func (h *headReader) Read(p []byte) (int, error) {
-	if h.remaining == unbounded {
-		return h.r.Read(p)
+	n, err := h.r.Read(p)
+	if !h.limited || n == 0 {
+		return n, err
 	}
-	if h.remaining == 0 {
+	h.count(p[:n])
+	switch {
+	case h.kept > maxHeadBytes:
 		return 0, errHeadTooLarge
+	case !h.account.Hold(h.kept):
+		return 0, errHeads
+	default:
+		return n, err
 	}
-	n, err := h.r.Read(p[:min(len(p), h.remaining)])
-	h.remaining -= n
-	return n, err
+}
+
+// count counts bytes up to the end of a head. What follows is a body, or a head that is counted from the next
+// read on.
+func (h *headReader) count(p []byte) {
+	for _, b := range p {
+		h.kept++
+		switch b {
+		case '\r':
+		case '\n':
+			if h.line == 0 {
+				return
+			}
+			h.line = 0
+			h.kept += headerLineBytes
+		default:
+			h.line++
+		}
+	}
+}
+
+// expect starts to limit heads.
+func (h *headReader) expect() { h.limited, h.line = true, 0 }
+
+// release forgets the heads of an exchange.
+func (h *headReader) release() {
+	h.kept = 0
+	h.account.Release()
 }
 
 // close closes the connection. The target aborts the request in progress, if any.
--- a/internal/target/http1/exchange.go
+++ b/internal/target/http1/exchange.go
@@ -73,8 +73,8 @@
 // read returns the response to the request. Interim responses, and responses to other
 // requests, are skipped.
 func (x *exchange) read() (*http.Response, error) {
-	x.conn.head.remaining = maxHeadBytes
-	defer func() { x.conn.head.remaining = unbounded }()
+	x.conn.head.expect()
+	defer func() { x.conn.head.limited = false }()
 	for range maxUnmatched {
 		resp, err := http.ReadResponse(x.conn.r, &http.Request{Method: x.request.Method})
 		if err != nil {
@@ -86,11 +86,11 @@
 		if x.request.Matches == nil || x.request.Matches(resp.Header, !x.conn.used) {
 			return resp, nil
 		}
-		x.conn.head.remaining = unbounded
+		x.conn.head.limited = false
 		if err := discard(resp); err != nil {
 			return nil, err
 		}
-		x.conn.head.remaining = maxHeadBytes
+		x.conn.head.expect()
 	}
 	return nil, errUnmatched
 }
@@ -120,6 +120,7 @@
 // connection can be reused, and closes it otherwise. It always returns nil.
 func (r *Response) Close() error {
 	x := r.exchange
+	x.conn.head.release()
 	if !x.stopWatch() || !r.atEOF || !r.Framed || !x.requestWritten() || r.closes || x.conn.r.Buffered() > 0 {
 		x.conn.close()
 		return nil
--- a/internal/target/sse/sse.go
+++ b/internal/target/sse/sse.go
@@ -9,7 +9,8 @@
 // Splitter buffers the bytes of a stream and returns its complete events. The zero value is
 // ready to use. It is not safe for concurrent use.
 type Splitter struct {
-	buf []byte
+	buf     []byte
+	scanned int // bytes at the start of buf that hold no end of an event
 }
 
 // Add appends bytes of the stream.
@@ -19,13 +20,17 @@
 // the bytes of an incomplete event.
 func (c *Splitter) Buffered() int { return len(c.buf) }
 
+// Size returns the memory that the splitter uses, in bytes.
+func (c *Splitter) Size() int { return cap(c.buf) }
+
 // Take removes and returns the complete events with their separators, and the ID of the
 // last one that has an ID. It returns nil if no event is complete. The bytes are valid until
 // the next Add.
 func (c *Splitter) Take() (events []byte, id string) {
 	end := 0
 	for {
-		n := eventLength(c.buf[end:])
+		n := eventLength(c.buf[end:], c.scanned)
+		c.scanned = 0
 		if n == 0 {
 			break
 		}
@@ -36,18 +41,22 @@
 	}
 	events = c.buf[:end:end]
 	c.buf = c.buf[end:]
+	c.scanned = max(0, len(c.buf)-maxSeparator)
 	if end == 0 {
 		return nil, ""
 	}
 	return events, id
 }
 
+// maxSeparator is the length of the longest separator of events.
+const maxSeparator = len("\r\n\r\n")
+
 // eventLength returns the length of the event at the start of p, with its separator, or 0
-// if it is incomplete.
-func eventLength(p []byte) int {
+// if it is incomplete. No separator ends in the first scanned bytes.
+func eventLength(p []byte, scanned int) int {
 	for _, separator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if i := bytes.Index(p, separator); i >= 0 {
-			return i + len(separator)
+		if i := bytes.Index(p[scanned:], separator); i >= 0 {
+			return scanned + i + len(separator)
 		}
 	}
 	return 0
--- a/plain/forward.go
+++ b/plain/forward.go
@@ -11,13 +11,13 @@
 	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/internal/host/budget"
 )
 
 // Bounds of the protocol.
@@ -69,13 +69,14 @@
 
 // Client forwards requests to plain services. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	http   *http.Client
+	memory *budget.Budget
 }
 
-// NewClient returns a client.
-func NewClient() *Client {
+// NewClient returns a client. What it reads of responses draws on memory, which may be nil.
+func NewClient(memory *budget.Budget) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{
+	return &Client{memory: memory, http: &http.Client{
 		Transport:     &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -103,17 +104,16 @@
 	if err != nil {
 		return nil, fault.New(fault.TargetFailed, "target %s: %v", addr, err)
 	}
-	return readAnswer(addr, resp)
+	return c.readAnswer(addr, resp)
 }
 
-func readAnswer(addr string, resp *http.Response) (*Response, error) {
+func (c *Client) readAnswer(addr string, resp *http.Response) (*Response, error) {
 	defer func() { _ = resp.Body.Close() }() // the body was read to its end or abandoned
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes+1))
+	account := c.memory.Account(addr, budget.MinBuffer)
+	defer account.Release()
+	body, err := budget.ReadAll(resp.Body, MaxResponseBytes, &account)
 	if err != nil {
-		return nil, fault.New(fault.TargetFailed, "target %s: response truncated after %d bytes: %v", addr, len(body), err)
-	}
-	if len(body) > MaxResponseBytes {
-		return nil, fault.New(fault.TargetFailed, "target %s: response body exceeds %d bytes", addr, MaxResponseBytes)
+		return nil, fault.New(fault.TargetFailed, "target %s: response abandoned after %d bytes: %v", addr, len(body), err)
 	}
 	return &Response{Status: resp.StatusCode, Header: StripHopByHop(resp.Header), Body: body}, nil
 }
@@ -151,7 +151,7 @@
 	if err != nil {
 		return nil, unknownOutcome(addr, err)
 	}
-	answer, err := readAnswer(addr, resp)
+	answer, err := c.readAnswer(addr, resp)
 	if err != nil {
 		return nil, unknownOutcome(addr, err)
 	}
--- a/plain/forward_test.go
+++ b/plain/forward_test.go
@@ -25,7 +25,7 @@
 			go repeatResponses(c)
 		}
 	}()
-	c := NewClient()
+	c := NewClient(nil)
 	defer c.Close()
 	for _, path := range []string{"/first", "/second"} {
 		resp, err := c.SendIdempotent(t.Context(), l.Addr().String(), Request{Method: http.MethodGet, Path: path})
