--- a/dispatch/limiting.go
+++ b/dispatch/limiting.go
@@ -36,9 +36,22 @@
 
 // choose picks a target and counts the request there. See TargetPool.Choose for its errors.
 func (d *Dispatcher) choose(ctx context.Context, req router.Request) (*Assignment, error) {
+	if err := d.checkStop(ctx); err != nil {
+		return nil, err
+	}
 	return withPermits(ctx, d.cfg.Targets, func(now clock.Time) (*Assignment, error) { return d.cfg.Targets.Choose(now, req) })
 }
 
+// checkStop returns a fault.Draining error if the instance may stop before the deadline of ctx, so that nothing may be
+// sent to a target any more.
+func (d *Dispatcher) checkStop(ctx context.Context) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return nil
+	}
+	return d.cfg.Gate.CheckStop(clock.Now(), time.Until(deadline))
+}
+
 // preview returns the target that choose would pick, without counting the request.
 func (d *Dispatcher) preview(ctx context.Context, req router.Request) (router.Choice, error) {
 	return withPermits(ctx, d.cfg.Targets, func(now clock.Time) (router.Choice, error) {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -30,6 +30,9 @@
 	if d.cfg.Placement == nil {
 		return d.choose(ctx, req)
 	}
+	if err := d.checkStop(ctx); err != nil {
+		return nil, err
+	}
 	placed, placer, err := d.cfg.Placement.Place(ctx, &peer.Place{
 		Service: req.Service, Version: req.Version, Stage: req.Stage, Prompt: req.Prompt, Parts: req.Parts,
 		Software: req.Software, Avoid: req.Avoid, Urgency: req.Urgency, CacheRegion: req.KVRegion, Remaining: remaining, TTFTObjective: objective, KnownEngines: d.cfg.Targets.EngineCount(clock.Now(), req.Service),
--- a/instance/serve_test.go
+++ b/instance/serve_test.go
@@ -20,7 +20,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
-	in := &Instance{stages: newStages()}
+	in := &Instance{stages: newStages(), requests: t.Context()}
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- in.serveInternal(ctx, l, http.NotFoundHandler()) }()
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -212,6 +212,7 @@
 // instance stops; see package http1. At the end, requests in progress have shutdownTimeout.
 func (in *Instance) serve(ctx context.Context, l net.Listener, server *http.Server, guard *http1.Guard) error {
 	guard.Attach(server)
+	server.BaseContext = func(net.Listener) context.Context { return in.requests }
 	g := task.New(ctx)
 	g.Go("stages", func(ctx context.Context) error {
 		for _, s := range []struct {
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -6,6 +6,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/leader"
 )
 
@@ -15,14 +17,20 @@
 //	serving   all is taken
 //	leaving   not ready; requests are taken, and each answer ends its connection. Entries stay here for the
 //	          linger time, in which the load balancer removes them. No connections are carried for others.
+//	          From now on, nothing is sent for a request whose own limit ends after the stop timeout: it is
+//	          refused as not run.
 //	closed    new requests are refused as not run. Idle connections end; see package http1 in internal/caller.
-//	          Those in progress, their receipts and connections carried for others go on, within the stop
-//	          timeout. Then the leadership is handed over.
+//	          Those in progress, their receipts and connections carried for others go on. Then the leadership
+//	          is handed over. What has not ended shortly before the stop timeout is cut off and answered.
 //	gone      nothing is in progress. Listeners and connections end, then the process.
 
-// drainPollInterval is the interval at which a stopping instance checks whether its requests have ended and
-// whether the leadership has moved.
-const drainPollInterval = 20 * time.Millisecond
+const (
+	// drainPollInterval is the interval at which a stopping instance checks whether its requests have ended and
+	// whether the leadership has moved.
+	drainPollInterval = 20 * time.Millisecond
+	// answerTime is the time in which the callers of requests that are cut off are answered.
+	answerTime = 200 * time.Millisecond
+)
 
 // stages announces the stages of a planned stop.
 type stages struct {
@@ -45,17 +53,39 @@
 // drain takes the instance through its stop, up to the stage gone. If the stop timeout of the settings ends the
 // wait for requests in progress, they are cut off and the leadership is not handed over.
 func (in *Instance) drain(ctx context.Context) {
+	linger := in.settings.Timing.Linger.AsDuration()
+	cut := cutTime(in.settings.StopBound())
+	if cut > 0 {
+		in.gate.LeaveBy(clock.Now().Add(linger + cut))
+	}
 	close(in.stages.leaving)
 	in.log.WithField("event", "draining").Info("stopping; waiting for requests in progress")
 	select {
 	case <-ctx.Done():
-	case <-time.After(in.settings.Timing.Linger.AsDuration()):
+	case <-time.After(linger):
 	}
 	in.gate.Drain()
 	close(in.stages.closed)
-	if bound := in.settings.StopBound(); bound > 0 {
+	if in.awaitRequests(ctx, cut) {
+		in.transferLeadership(ctx)
+		return
+	}
+	running, _ := in.dispatcher.Load()
+	in.log.WithFields(logrus.Fields{"event": "drain_bound", "running": running}).Warn("stop timeout reached; requests in progress are cut off")
+	in.cutOff(fault.New(fault.Draining, "this instance stops, and its stop timeout has been reached"))
+	in.awaitRequests(ctx, answerTime)
+}
+
+// cutTime returns when requests are cut off, so that the callers are answered within the stop timeout; 0 means
+// never.
+func cutTime(bound time.Duration) time.Duration { return max(bound/2, bound-answerTime) }
+
+// awaitRequests waits until nothing is in progress, for at most the given time, where 0 means no limit. It reports
+// whether that was reached.
+func (in *Instance) awaitRequests(ctx context.Context, within time.Duration) bool {
+	if within > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, bound)
+		ctx, cancel = context.WithTimeout(ctx, within)
 		defer cancel()
 	}
 	ticker := time.NewTicker(drainPollInterval)
@@ -63,13 +93,11 @@
 	for in.inProgress() > 0 {
 		select {
 		case <-ctx.Done():
-			running, _ := in.dispatcher.Load()
-			in.log.WithFields(logrus.Fields{"event": "drain_bound", "running": running}).Warn("stop timeout reached; requests in progress are cut off")
-			return
+			return false
 		case <-ticker.C:
 		}
 	}
-	in.transferLeadership(ctx)
+	return true
 }
 
 // inProgress returns the number of requests, receipts and carried connections that a stop waits for.
