--- a/caller/chat.go
+++ b/caller/chat.go
@@ -136,12 +136,11 @@
 	}
 }
 
-// abortStream ends an answer that cannot be completed. The end marker is missing then, so that no
-// caller mistakes the answer for a complete one.
+// abortStream ends an answer that cannot be completed. If it has begun, its connection is closed in the middle of
+// it: nothing but its events may be in it, and its end must not look complete.
 func (s *Server) abortStream(e *eventWriter, err error) {
-	if !e.headerSent {
-		writeRefusal(e.w, err)
-		return
+	if e.headerSent {
+		panic(http.ErrAbortHandler)
 	}
-	_ = e.write(reply.FailureOf(err)) // a disconnected caller needs no reply
+	writeRefusal(e.w, err)
 }
--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/fault"
@@ -73,6 +74,7 @@
 // sendHeader sends the status and the headers of an answer to the sink.
 func (r *forwardRun) sendHeader(answer Answered) error {
 	r.headerSent = true
+	r.begun = answer
 	return r.sink.Begin(answer.Status, answer.Header)
 }
 
@@ -84,13 +86,33 @@
 	if ctx.Err() == nil {
 		r.recordBroken(ctx, a, true, err)
 	}
-	retry = r.mayResend() && (!r.headerSent || r.req.Rule.Retry == desired.RetryResume)
+	retry = r.mayResend() && (!r.headerSent || r.req.Rule.Retry == desired.RetryResume && !r.unordered)
 	return retry, fault.New(fault.TargetFailed, "target %s: answer truncated: %v", a.Choice.ID, err)
 }
 
-// relayStream sends complete events to the sink as they arrive.
+// checkContinuation returns an error if an answer cannot be the rest of the stream that has begun.
+func (r *forwardRun) checkContinuation(answer Answered) error {
+	if answer.Status != r.begun.Status {
+		return fault.New(fault.TargetFailed, "status %d instead of the rest of the answer", answer.Status)
+	}
+	if kind, want := mediaType(answer.Header), mediaType(r.begun.Header); kind != want {
+		return fault.New(fault.TargetFailed, "an answer of type %q instead of the rest of one of type %q", kind, want)
+	}
+	return nil
+}
+
+// mediaType returns the Content-Type of an answer without its parameters.
+func mediaType(h http.Header) string {
+	kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(kind))
+}
+
+// relayStream sends complete events to the sink as they arrive. If another answer has begun the stream, only
+// events that follow its last one are sent.
 func (r *forwardRun) relayStream(ctx context.Context, a *Assignment, answer Answered) (retry bool, err error) {
 	var splitter sse.Splitter
+	continues := r.headerSent
+	sequence := sse.After(r.lastEventID)
 	account := r.d.cfg.Answers.Account(a.Address, 2*streamReadBytes)
 	defer account.Release()
 	buf := make([]byte, streamReadBytes)
@@ -104,12 +126,23 @@
 			return r.handleTruncated(ctx, a, fault.New(fault.TooLarge, "stream events that are kept exceed their budget"))
 		}
 		if events, id := splitter.Take(); events != nil {
-			if id != "" {
-				r.lastEventID = id
+			n, broken := sequence.Follow(events)
+			if broken != nil && !continues {
+				r.unordered = true // the target's own answer, which no other can go on with
+				n, broken = len(events), nil
+			}
+			if n > 0 {
+				if id != "" && broken == nil {
+					r.lastEventID = id
+				}
+				if err := r.relayEvents(a, answer, events[:n]); err != nil {
+					r.sinkErr = err
+					return false, err
+				}
 			}
-			if err := r.relayEvents(a, answer, events); err != nil {
-				r.sinkErr = err
-				return false, err
+			if broken != nil {
+				r.lastEventID = sequence.Last()
+				return r.handleTruncated(ctx, a, fault.Wrap(fault.TargetFailed, broken))
 			}
 		}
 		if err == io.EOF {
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -67,6 +67,8 @@
 	avoid        ident.TargetID         // target that failed most recently
 	lastEventID  string                 // id of the last event that was delivered
 	headerSent   bool                   // status and headers have been sent to the caller
+	begun        Answered               // whose status and headers were sent
+	unordered    bool                   // events were delivered whose ids do not increase, so that no other target can go on
 	eventSent    bool                   // the first event has been delivered
 	firstByteAt  clock.Time             // delivery of the first byte
 	lastByteAt   clock.Time             // most recent delivery
@@ -334,8 +336,10 @@
 		a.ReportLoad(*answered.Load)
 	}
 	r.d.recordLimit(a, r.req.ID, answered.Limit)
-	if r.headerSent && answered.Status >= http.StatusMultipleChoices {
-		return r.handleTruncated(ctx, a, fault.New(fault.TargetFailed, "status %d instead of the rest of the answer", answered.Status))
+	if r.headerSent {
+		if err := r.checkContinuation(answered); err != nil {
+			return r.handleTruncated(ctx, a, err)
+		}
 	}
 	if r.req.Rule.Stream && answered.Status < http.StatusMultipleChoices {
 		return r.relayStream(ctx, a, answered)
