A stream that a caller takes up goes on with its own events only (ORDER)

What callers saw: something else as the next events of a stream that they took up at another instance.

Cause: such a request is a new one here; nothing had been delivered, so that its first events were compared with nothing.

Change: with a numeric Last-Event-Id, events must follow it from the first one on. Else another target is tried, and then the caller gets an error.

--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -90,17 +90,27 @@
 	return retry, fault.New(fault.TargetFailed, "target %s: answer truncated: %v", a.Choice.ID, err)
 }
 
-// checkContinuation returns an error if an answer cannot be the rest of the stream that has begun.
+// checkContinuation returns an error if an answer cannot be the rest of a stream that another one has begun, in this
+// answer to the caller or in an earlier one that the caller takes up.
 func (r *forwardRun) checkContinuation(answer Answered) error {
-	if answer.Status != r.begun.Status {
-		return fault.New(fault.TargetFailed, "status %d instead of the rest of the answer", answer.Status)
+	status, want := http.StatusOK, "text/event-stream"
+	if r.headerSent {
+		status, want = r.begun.Status, mediaType(r.begun.Header)
 	}
-	if kind, want := mediaType(answer.Header), mediaType(r.begun.Header); kind != want {
+	if answer.Status != status {
+		return fault.New(fault.TargetFailed, "status %d instead of the rest of the stream", answer.Status)
+	}
+	if kind := mediaType(answer.Header); kind != want && (kind != "" || r.headerSent) {
 		return fault.New(fault.TargetFailed, "an answer of type %q instead of the rest of one of type %q", kind, want)
 	}
 	return nil
 }
 
+// continues reports whether the request's next events follow others that the caller has.
+func (r *forwardRun) continues() bool {
+	return r.headerSent || r.req.Rule.Stream && sse.After(r.req.LastEventID).Continues()
+}
+
 // mediaType returns the Content-Type of an answer without its parameters.
 func mediaType(h http.Header) string {
 	kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
@@ -111,7 +121,7 @@
 // events that follow its last one are sent.
 func (r *forwardRun) relayStream(ctx context.Context, a *Assignment, answer Answered) (retry bool, err error) {
 	var splitter sse.Splitter
-	continues := r.headerSent
+	continues := r.continues()
 	sequence := sse.After(r.lastEventID)
 	account := r.d.cfg.Answers.Account(a.Address, 2*streamReadBytes)
 	defer account.Release()
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -336,12 +336,13 @@
 		a.ReportLoad(*answered.Load)
 	}
 	r.d.recordLimit(a, r.req.ID, answered.Limit)
-	if r.headerSent {
+	success := answered.Status < http.StatusMultipleChoices
+	if r.headerSent || success && r.continues() {
 		if err := r.checkContinuation(answered); err != nil {
 			return r.handleTruncated(ctx, a, err)
 		}
 	}
-	if r.req.Rule.Stream && answered.Status < http.StatusMultipleChoices {
+	if r.req.Rule.Stream && success {
 		return r.relayStream(ctx, a, answered)
 	}
 	return r.relayWhole(ctx, a, answered)
--- a/dispatch/stream_test.go
+++ b/dispatch/stream_test.go
@@ -70,3 +70,38 @@
 func answerOf(kind string, status int, body string, err error) Outcome {
 	return Answered{Status: status, Header: http.Header{"Content-Type": {kind}}, Body: answer(status, body, err).(Answered).Body}
 }
+
+// TestTakenUpStreamGoesOn guards against the same where a caller takes a stream up: what comes must follow the last event
+// that it has. Another target is tried, and the caller gets an error rather than something else.
+func TestTakenUpStreamGoesOn(t *testing.T) {
+	const third = "id: 3\ndata: c\n\n"
+	for name, test := range map[string]struct {
+		last     string // that the caller has
+		outcomes []Outcome
+		want     string
+		ok       bool
+	}{
+		"the rest":                    {"2", []Outcome{answerOf("text/event-stream", 200, third, nil)}, third, true},
+		"the rest, no type":           {"2", []Outcome{answer(200, third, nil)}, third, true},
+		"an error, then the rest":     {"2", []Outcome{answerOf("text/event-stream", 200, "sorry\n\n", nil), answerOf("text/event-stream", 200, third, nil)}, third, true},
+		"a page twice":                {"2", []Outcome{answerOf("text/html", 200, "sorry\n\n", nil), answerOf("text/html", 200, "sorry\n\n", nil)}, "", false},
+		"from the start":              {"2", []Outcome{answerOf("text/event-stream", 200, events+third, nil), answerOf("text/event-stream", 200, events+third, nil)}, "", false},
+		"ids of another kind":         {"x", []Outcome{answerOf("text/event-stream", 200, "id: y\ndata: c\n\n", nil)}, "id: y\ndata: c\n\n", true},
+		"a new stream, of no events":  {"", []Outcome{answerOf("text/plain", 200, "whole\n\n", nil)}, "whole\n\n", true},
+		"a new stream, ids of a kind": {"", []Outcome{answerOf("text/event-stream", 200, "id: y\ndata: c\n\n", nil)}, "id: y\ndata: c\n\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newForwardDispatcher(t, &scriptedBackend{outcomes: test.outcomes}, "", "")
+			f := newForwardRequest(desired.ForwardRule{Retry: desired.RetryResume, Stream: true, Attempts: 2})
+			f.LastEventID = test.last
+			var sink recordingSink
+			err := d.Forward(t.Context(), f, &sink)
+			if sink.body.String() != test.want || (err == nil) != test.ok {
+				t.Errorf("delivered %q, error %v, want %q", sink.body.String(), err, test.want)
+			}
+			if !test.ok && sink.begins > 0 {
+				t.Error("the answer has begun, and the caller gets no error")
+			}
+		})
+	}
+}
--- a/internal/target/sse/sequence.go
+++ b/internal/target/sse/sequence.go
@@ -24,8 +24,11 @@
 	return Sequence{last: n, begun: true, never: err != nil}
 }
 
+// Continues reports whether events follow one that has an ID.
+func (s Sequence) Continues() bool { return s.begun && !s.never }
+
 // Last returns the ID of the last event, or "" if there was none.
-func (s *Sequence) Last() string {
+func (s Sequence) Last() string {
 	if !s.begun {
 		return ""
 	}
