A process does not end with the reader of its log

Where the collector of the log ends, the next line raises SIGPIPE, whose default action for the standard output ends the process, with all that it serves.

Change: package signals handles SIGPIPE as well; the write fails, which the log writer ignores.

Test: TestReaderOfLogEnds fails before (never ready), passes now.

--- a/e2e/signals_test.go
+++ b/e2e/signals_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -122,3 +124,36 @@
 		t.Errorf("exit: %v", err)
 	}
 }
+
+// TestReaderOfLogEnds guards against a process that ends with the reader of its log: a write to a standard output
+// that nobody reads raises SIGPIPE.
+func TestReaderOfLogEnds(t *testing.T) {
+	c := newCluster(t, 1, 1, false)
+	c.addTargets(0, 1, standin.EngineConfig{})
+	c.bootstrap()
+	if err := c.terminate(0); err != nil {
+		t.Fatal(err)
+	}
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	nd := c.nodes[0]
+	nd.cmd = exec.Command(daemonPath, "serve", "-settings", nd.settingsPath)
+	nd.cmd.Stdout, nd.cmd.Stderr = w, w
+	if err := nd.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	nd.exited = make(chan error, 1)
+	go func(cmd *exec.Cmd, exited chan error) { exited <- cmd.Wait() }(nd.cmd, nd.exited)
+	if err := errors.Join(w.Close(), r.Close()); err != nil {
+		t.Fatal(err)
+	}
+	c.awaitReady(0)
+	if a := c.pay(0, "unread", `{"amount":1}`); a.status != http.StatusCreated {
+		t.Errorf("payment: status %d, %v: %s", a.status, a.err, a.body)
+	}
+	if err := c.terminate(0); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
--- a/internal/host/signals/signals.go
+++ b/internal/host/signals/signals.go
@@ -21,6 +21,9 @@
 var (
 	stops   = notify(syscall.SIGINT, syscall.SIGTERM)
 	reloads = notify(syscall.SIGHUP)
+	// SIGPIPE comes with a write to a standard output without a reader. Nobody receives it, as the write
+	// fails, too.
+	_ = notify(syscall.SIGPIPE)
 )
 
 // notify returns a channel that keeps one of the given signals until it is read.
@@ -44,4 +47,4 @@
 func Reloads() <-chan os.Signal { return reloads }
 
 // Default restores the default action of all signals, for a command that serves nobody.
-func Default() { signal.Reset(syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP) }
+func Default() { signal.Reset(syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGPIPE) }
