Settings that change while the process starts are applied

Cause: the watch took the content of the file at its own start for what was loaded. A change between the two, without a further one, was never applied: a voter may open its disk for seconds in between.

Test: TestChangeBeforeWatch fails before ("the change was not applied" after 20 s), passes now.

--- a/cmd/hickoryridge/main.go
+++ b/cmd/hickoryridge/main.go
@@ -126,7 +126,7 @@
 		logger.WithField("event", "start_failed").Error(err)
 		return cli.ExitFailed
 	}
-	watch := settings.Watch{Path: from.path, Lenient: from.lenient, Signals: signals.Reloads(), Changed: in.Reload, Log: logger}
+	watch := settings.Watch{Path: from.path, Lenient: from.lenient, Loaded: s, Signals: signals.Reloads(), Changed: in.Reload, Log: logger}
 	handlers := task.New(context.Background())
 	handlers.Go("settings", watch.Run)
 	ctx, stop := context.WithCancel(context.Background())
--- a/settings/watch.go
+++ b/settings/watch.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"reflect"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,7 +19,8 @@
 // pollInterval. An unreadable or invalid file leaves the current settings in force.
 type Watch struct {
 	Path    string
-	Lenient bool // ignore unknown fields
+	Lenient bool      // ignore unknown fields
+	Loaded  *Settings // that the process started with
 	Signals <-chan os.Signal
 	Changed func(*Settings)
 	Log     *logrus.Logger
@@ -30,7 +32,7 @@
 func (w *Watch) Run(ctx context.Context) error {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	w.last, _ = os.ReadFile(w.Path) // read logs a failure
+	w.read() // the file may have changed since it was loaded
 	for {
 		select {
 		case <-ctx.Done():
@@ -58,6 +60,10 @@
 		w.Log.WithFields(logrus.Fields{"event": "settings_refused", "file": w.Path, "cause": faults[0]}).Warn("settings are invalid; keeping the current settings")
 		return
 	}
+	if reflect.DeepEqual(s, w.Loaded) {
+		return
+	}
+	w.Loaded = s
 	w.Changed(s)
 }
 
