A test stops instances that carry connections for another one

TestCarryingInstanceStops: requests of 1.5 s, carried by two voters for an instance that is cut off, are answered though both voters stop.

--- a/instance/link_test.go
+++ b/instance/link_test.go
@@ -200,6 +200,49 @@
 	}
 }
 
+// TestCarryingInstanceStops guards against requests of an instance that is cut off, which are cut off once more when
+// the instance that carries them stops.
+func TestCarryingInstanceStops(t *testing.T) {
+	const takes = 1500 * time.Millisecond
+	c, p, _ := newPartitionedCluster(t)
+	addrs, _ := c.startTargets(4, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/slow") {
+			time.Sleep(takes)
+		}
+		_, _ = io.WriteString(w, "answer to "+r.URL.Path)
+	}))
+	in := c.instances[0]
+	askUntil(in, addrs, time.Now().Add(200*time.Millisecond))
+	p.set(true, false)
+	in.targetClient.Close() // idle connections are lost
+	askUntil(in, addrs, time.Now().Add(contactTime))
+	answers := make(chan error, 2*len(addrs))
+	for n := range cap(answers) {
+		go func() {
+			id := fmt.Sprint("slow", n)
+			body, err := ask(in, addrs[n%len(addrs)], id)
+			if err == nil && body != "answer to /"+id {
+				err = fmt.Errorf("body %q", body)
+			}
+			answers <- err
+		}()
+	}
+	carriers := c.instances[1:]
+	c.waitFor("carried requests", func() bool {
+		return carriers[0].network.Carried()+carriers[1].network.Carried() == cap(answers)
+	})
+	for i, carrier := range carriers {
+		if carrier.network.Carried() > 0 {
+			c.stops[1+i]()
+		}
+	}
+	for range cap(answers) {
+		if err := <-answers; err != nil {
+			t.Errorf("carried request: %v", err)
+		}
+	}
+}
+
 // TestTargetsDownIsNoPartition guards against an instance that takes targets which are down for everybody for
 // a lost link.
 func TestTargetsDownIsNoPartition(t *testing.T) {
--- a/instance/voter_test.go
+++ b/instance/voter_test.go
@@ -25,7 +25,8 @@
 type cluster struct {
 	t         *testing.T
 	instances []*Instance
-	ended     chan error // receives the result of each Run
+	stops     []context.CancelFunc // by instance
+	ended     chan error           // receives the result of each Run
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -58,7 +59,9 @@
 		}
 		prepare(in)
 		c.instances = append(c.instances, in)
-		go func() { c.ended <- in.Run(ctx) }()
+		running, stop := context.WithCancel(ctx)
+		c.stops = append(c.stops, stop)
+		go func() { c.ended <- in.Run(running) }()
 	}
 	t.Cleanup(func() {
 		cancel()
