--- a/e2e/crash_test.go
+++ b/e2e/crash_test.go
@@ -18,10 +18,10 @@
 	get := func(in int, path string) response {
 		return do(http.MethodGet, c.callersURL(in)+"/services/desk/"+path, nil, nil)
 	}
-	refused := func(in int) bool {
-		r := get(in, "crash")
+	refusal := func(r response) bool {
 		return r.status == http.StatusServiceUnavailable && strings.Contains(string(r.body), "part_quarantined")
 	}
+	refused := func(in int) bool { return refusal(get(in, "crash")) }
 	for in := range c.nodes {
 		c.await("the request to be refused", func() bool { return refused(in) })
 	}
@@ -37,16 +37,17 @@
 	if before < 3 {
 		t.Errorf("%d crashes before the request was refused, want at least 3", before)
 	}
+	c.await("all replicas to be back", func() bool { return c.servicesDown() == 0 })
 	for in := range c.nodes { // each has to hear of the replicas that are back
 		c.await("other requests to be served", func() bool { return get(in, "postage/TT-1").status == http.StatusOK })
 	}
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for in := range c.nodes {
-			if !refused(in) {
-				t.Fatalf("instance %d no longer refuses the request", in)
+			if r := get(in, "crash"); !refusal(r) {
+				t.Fatalf("instance %d no longer refuses the request: %d %s, %v", in, r.status, r.body, r.err)
 			}
 			if r := get(in, "postage/TT-1"); r.status != http.StatusOK {
-				t.Errorf("instance %d answers another request %d %s", in, r.status, r.body)
+				t.Errorf("instance %d answers another request %d %s; %d replicas are down", in, r.status, r.body, c.servicesDown())
 			}
 		}
 	}
@@ -55,3 +56,14 @@
 	}
 	t.Logf("%d crashes", before)
 }
+
+// servicesDown returns the number of services that have crashed and are not back.
+func (c *cluster) servicesDown() int {
+	n := 0
+	for _, s := range c.services {
+		if _, down := s.Crashes(); down {
+			n++
+		}
+	}
+	return n
+}
