--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -48,8 +48,8 @@
 	MaxRunning int // bound on requests in progress for each service
 	// Answers bounds what is kept of targets' answers. It may be nil.
 	Answers *budget.Budget
-	// CutOff ends when a stop cuts off what is in progress, with a fault.Draining error as its cause. It may be nil.
-	CutOff context.Context
+	// Requests ends when a stop aborts the requests in progress, with a fault.Draining error as its cause. It may be nil.
+	Requests context.Context
 	// Retries bounds the retries of each service across all instances. If its window is zero, each
 	// instance has its own budget instead.
 	Retries admit.RetryLimit
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -128,8 +128,8 @@
 // fail sets the kind of the error of a request that was not answered completely and whether the
 // request ran, then counts, logs and returns the error.
 func (r *forwardRun) fail(ctx context.Context, err error) error {
-	cutOff := fault.Is(context.Cause(ctx), fault.Draining)
-	disconnected := errors.Is(ctx.Err(), context.Canceled) && !cutOff
+	aborted := fault.Is(context.Cause(ctx), fault.Draining)
+	disconnected := errors.Is(ctx.Err(), context.Canceled) && !aborted
 	timedOut := ctx.Err() != nil && !disconnected && !r.headerSent
 	if disconnected {
 		err = fault.WithRan(fault.New(fault.TargetFailed, "the caller disconnected: %v", err), fault.RanNo)
@@ -141,7 +141,7 @@
 		err = fault.WithRan(fault.Wrap(fault.Timeout, err), fault.RanUnknown)
 	case r.mayHaveRun:
 		err = fault.WithRan(fault.Wrap(fault.TargetFailed, err), fault.RanUnknown)
-	case cutOff:
+	case aborted:
 		err = fault.WithRan(context.Cause(ctx), fault.RanNo)
 	case timedOut:
 		err = fault.WithRan(fault.Wrap(fault.DeadlineUnreachable, err), fault.RanNo)
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -44,7 +44,7 @@
 	current  *ActiveConfig
 	leaseEnd clock.Time
 	draining bool
-	cutAt    clock.Time // when a stop cuts requests off; 0 if it does not
+	abortAt  clock.Time // when a stop aborts requests; 0 if it does not
 }
 
 // NewGate returns a gate that admits nothing until a lease is granted.
@@ -109,22 +109,22 @@
 	return c, nil
 }
 
-// LeaveBy records that the instance is stopping and cuts off at the given time what is still in progress.
-func (g *Gate) LeaveBy(cutAt clock.Time) {
+// LeaveBy records that the instance is stopping and aborts at the given time what is still in progress.
+func (g *Gate) LeaveBy(abortAt clock.Time) {
 	g.mu.Lock()
-	g.cutAt = cutAt
+	g.abortAt = abortAt
 	g.mu.Unlock()
 }
 
 // CheckStop returns a fault.Draining error if a request that may last for the given time cannot end before the
-// instance stops. Nothing of it may be sent then: it would be cut off in progress.
+// instance stops. Nothing of it may be sent then: it would be aborted in progress.
 func (g *Gate) CheckStop(now clock.Time, limit time.Duration) error {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
-	if g.cutAt == 0 || !now.Add(limit).After(g.cutAt) {
+	if g.abortAt == 0 || !now.Add(limit).After(g.abortAt) {
 		return nil
 	}
-	return fault.WithRan(fault.New(fault.Draining, "this instance stops in %v, before a request of %v has ended", g.cutAt.Sub(now), limit), fault.RanNo)
+	return fault.WithRan(fault.New(fault.Draining, "this instance stops in %v, before a request of %v has ended", g.abortAt.Sub(now), limit), fault.RanNo)
 }
 
 // Drain closes the gate permanently because the instance is stopping.
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -150,8 +150,8 @@
 	ctx = context.WithoutCancel(ctx)
 	ctx, cancel := context.WithTimeout(ctx, p.Service.RequestTimeout())
 	defer cancel()
-	if d.cfg.CutOff != nil {
-		defer context.AfterFunc(d.cfg.CutOff, cancel)()
+	if d.cfg.Requests != nil {
+		defer context.AfterFunc(d.cfg.Requests, cancel)()
 	}
 	reply, err := d.cfg.Receipts.Run(ctx, open, func(ctx context.Context, beforeSend func() error) (*state.StoredResponse, error) {
 		answer, err := d.sendAtMostOnce(ctx, p, beforeSend)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -79,9 +79,9 @@
 	// of targets' answers.
 	requestMemory, answerMemory *budget.Budget
 	stages                      stages
-	// requests is the context of requests of callers, and of all that serves them. cutOff ends it.
+	// requests is the context of requests of callers, and of all that serves them. abort ends it, with a cause.
 	requests       context.Context
-	cutOff         context.CancelCauseFunc
+	abort          context.CancelCauseFunc
 	latestSettings atomic.Pointer[settings.Settings] // most recent settings
 	// confirmedView is the newest view that this instance has confirmed to the leader. It is owned
 	// by the lease task.
@@ -110,7 +110,7 @@
 		engines: engine.NewClient(s.IdleLimit()),
 		metrics: metrics.New(), requestMemory: budget.New(s.RequestMemory()), answerMemory: budget.New(s.AnswerMemory()),
 	}
-	in.requests, in.cutOff = context.WithCancelCause(context.Background())
+	in.requests, in.abort = context.WithCancelCause(context.Background())
 	in.plain = plain.NewClient(in.answerMemory)
 	in.latestSettings.Store(s)
 	if err := in.loadTLS(); err != nil {
@@ -150,7 +150,7 @@
 	}
 	in.dispatcher = dispatch.New(dispatch.Config{
 		Instance: s.Instance, Boot: boot, Gate: in.gate, Targets: in.targetPool, Engines: in.engines,
-		Plain: in.plain, Backend: &platform.Backend{Client: in.targetClient, Log: in.log}, Receipts: in.receipts, Metrics: in.metrics, Log: in.log, MaxRunning: s.RunningLimit(), Answers: in.answerMemory, CutOff: in.requests,
+		Plain: in.plain, Backend: &platform.Backend{Client: in.targetClient, Log: in.log}, Receipts: in.receipts, Metrics: in.metrics, Log: in.log, MaxRunning: s.RunningLimit(), Answers: in.answerMemory, Requests: in.requests,
 		Placement: in.placing(), Facts: in.facts(), Origins: in.origins(), Doubtful: in.link.doubtful,
 		Retries: admit.RetryLimit{Ratio: s.Retries.Ratio, Window: s.Retries.Window.AsDuration(), Slack: s.Retries.Slack},
 	})
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -21,14 +21,14 @@
 //	          refused as not run.
 //	closed    new requests are refused as not run. Idle connections end; see package http1 in internal/caller.
 //	          Those in progress, their receipts and connections carried for others go on. Then the leadership
-//	          is handed over. What has not ended shortly before the stop timeout is cut off and answered.
+//	          is handed over. What has not ended shortly before the stop timeout is aborted and answered.
 //	gone      nothing is in progress. Listeners and connections end, then the process.
 
 const (
 	// drainPollInterval is the interval at which a stopping instance checks whether its requests have ended and
 	// whether the leadership has moved.
 	drainPollInterval = 20 * time.Millisecond
-	// answerTime is the time in which the callers of requests that are cut off are answered.
+	// answerTime is the time in which the callers of aborted requests are answered.
 	answerTime = 200 * time.Millisecond
 )
 
@@ -51,12 +51,12 @@
 }
 
 // drain takes the instance through its stop, up to the stage gone. If the stop timeout of the settings ends the
-// wait for requests in progress, they are cut off and the leadership is not handed over.
+// wait for requests in progress, they are aborted and the leadership is not handed over.
 func (in *Instance) drain(ctx context.Context) {
-	linger := in.settings.Timing.Linger.AsDuration()
-	cut := cutTime(in.settings.StopBound())
-	if cut > 0 {
-		in.gate.LeaveBy(clock.Now().Add(linger + cut))
+	linger, bound := in.settings.Timing.Linger.AsDuration(), in.settings.StopBound()
+	abort := abortTime(bound)
+	if abort > 0 {
+		in.gate.LeaveBy(clock.Now().Add(linger + abort))
 	}
 	close(in.stages.leaving)
 	in.log.WithField("event", "draining").Info("stopping; waiting for requests in progress")
@@ -66,19 +66,24 @@
 	}
 	in.gate.Drain()
 	close(in.stages.closed)
-	if in.awaitRequests(ctx, cut) {
+	if bound > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, bound)
+		defer cancel()
+	}
+	if in.awaitRequests(ctx, abort) {
 		in.transferLeadership(ctx)
 		return
 	}
 	running, _ := in.dispatcher.Load()
 	in.log.WithFields(logrus.Fields{"event": "drain_bound", "running": running}).Warn("stop timeout reached; requests in progress are cut off")
-	in.cutOff(fault.New(fault.Draining, "this instance stops, and its stop timeout has been reached"))
+	in.abort(fault.New(fault.Draining, "this instance stops, and its stop timeout has been reached"))
 	in.awaitRequests(ctx, answerTime)
 }
 
-// cutTime returns when requests are cut off, so that the callers are answered within the stop timeout; 0 means
+// abortTime returns when requests are aborted, so that the callers are answered within the stop timeout; 0 means
 // never.
-func cutTime(bound time.Duration) time.Duration { return max(bound/2, bound-answerTime) }
+func abortTime(bound time.Duration) time.Duration { return max(bound/2, bound-answerTime) }
 
 // awaitRequests waits until nothing is in progress, for at most the given time, where 0 means no limit. It reports
 // whether that was reached.
--- a/internal/caller/http1/guard.go
+++ b/internal/caller/http1/guard.go
@@ -159,7 +159,7 @@
 	g.checkEmpty()
 }
 
-// checkEmpty tells Close that no connection is open. g.mu is held.
+// checkEmpty ends the wait of Close if no connection is open. g.mu is held.
 func (g *Guard) checkEmpty() {
 	if g.stage < gone || len(g.conns) > 0 {
 		return
