A taken-up stream is compared by its events, not by its media type

The status and the ids of events are compared, as before; the type only where the beginning is known.

--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -93,14 +93,17 @@
 // checkContinuation returns an error if an answer cannot be the rest of a stream that another one has begun, in this
 // answer to the caller or in an earlier one that the caller takes up.
 func (r *forwardRun) checkContinuation(answer Answered) error {
-	status, want := http.StatusOK, "text/event-stream"
+	status := http.StatusOK
 	if r.headerSent {
-		status, want = r.begun.Status, mediaType(r.begun.Header)
+		status = r.begun.Status
 	}
 	if answer.Status != status {
 		return fault.New(fault.TargetFailed, "status %d instead of the rest of the stream", answer.Status)
 	}
-	if kind := mediaType(answer.Header); kind != want && (kind != "" || r.headerSent) {
+	if !r.headerSent {
+		return nil // the media type of the beginning is not recorded
+	}
+	if kind, want := mediaType(answer.Header), mediaType(r.begun.Header); kind != want {
 		return fault.New(fault.TargetFailed, "an answer of type %q instead of the rest of one of type %q", kind, want)
 	}
 	return nil
@@ -121,8 +124,7 @@
 // events that follow its last one are sent.
 func (r *forwardRun) relayStream(ctx context.Context, a *Assignment, answer Answered) (retry bool, err error) {
 	var splitter sse.Splitter
-	continues := r.continues()
-	sequence := sse.After(r.lastEventID)
+	sequence := streamSequence{Sequence: sse.After(r.lastEventID), strict: r.continues()}
 	account := r.d.cfg.Answers.Account(a.Address, 2*streamReadBytes)
 	defer account.Release()
 	buf := make([]byte, streamReadBytes)
@@ -136,22 +138,15 @@
 			return r.handleTruncated(ctx, a, fault.New(fault.TooLarge, "stream events that are kept exceed their budget"))
 		}
 		if events, id := splitter.Take(); events != nil {
-			n, broken := sequence.Follow(events)
-			if broken != nil && !continues {
-				r.unordered = true // the target's own answer, which no other can go on with
-				n, broken = len(events), nil
-			}
+			n, last, broken := r.following(&sequence, events, id)
 			if n > 0 {
-				if id != "" && broken == nil {
-					r.lastEventID = id
-				}
+				r.lastEventID = last
 				if err := r.relayEvents(a, answer, events[:n]); err != nil {
 					r.sinkErr = err
 					return false, err
 				}
 			}
 			if broken != nil {
-				r.lastEventID = sequence.Last()
 				return r.handleTruncated(ctx, a, fault.Wrap(fault.TargetFailed, broken))
 			}
 		}
@@ -174,6 +169,29 @@
 	return false, nil
 }
 
+// streamSequence is the sequence of a stream's events.
+type streamSequence struct {
+	sse.Sequence
+	strict bool // the caller has events of another answer, which these must follow
+}
+
+// following returns the length of the events that may be sent, the id of the last event that the caller then has, and
+// an error if others come after them. Events whose last id is the given one are sent as they come if they
+// begin the stream; if they do not follow each other, no other target can go on with them.
+func (r *forwardRun) following(s *streamSequence, events []byte, id string) (n int, last string, broken error) {
+	n, broken = s.Follow(events)
+	switch {
+	case broken != nil && s.strict:
+		return n, s.Last(), broken
+	case broken != nil:
+		r.unordered = true
+	}
+	if id == "" {
+		id = r.lastEventID
+	}
+	return len(events), id, nil
+}
+
 // relayEvents sends events of the answer to the sink, preceded by the headers if they have not been
 // sent.
 func (r *forwardRun) relayEvents(a *Assignment, answer Answered, events []byte) error {
