--- a/internal/reply/reply.go
+++ b/internal/reply/reply.go
@@ -108,6 +108,9 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if err != nil {
+		w.Header().Set("Connection", "close") // the rest of the body may never end
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, fault.New(fault.TooLarge, "request body exceeds %d bytes", tooLarge.Limit)
