One figure for the memory of an HTTP header

The bounds on heads of targets and of callers had a constant each for the same thing. Behaviour is unchanged; tests of budget, caller/http1 and target/http1 pass.

--- a/internal/caller/http1/body.go
+++ b/internal/caller/http1/body.go
@@ -13,8 +13,6 @@
 	// freeHeaderBytes and freeBodyBytes are the memory for a header and a body that draws on no budget.
 	freeHeaderBytes = 8 << 10
 	freeBodyBytes   = 16 << 10
-	// headerLineBytes is the memory for one header besides its text.
-	headerLineBytes = 128
 	// bodyCopies is the number of times that a body is kept: as it was read, and as it is sent.
 	bodyCopies = 2
 )
--- a/internal/caller/http1/conn.go
+++ b/internal/caller/http1/conn.go
@@ -62,7 +62,7 @@
 	if len(p) == 0 || c.serving {
 		return true
 	}
-	c.headerBytes += ident.Bytes(len(p) + headerLineBytes*bytes.Count(p, []byte{'\n'}))
+	c.headerBytes += ident.Bytes(len(p)) + budget.HeaderLine*ident.Bytes(bytes.Count(p, []byte{'\n'}))
 	if !c.header.Hold(c.headerBytes) {
 		c.ending, c.awaitingRequest = true, false // no request has been read
 		return false
--- a/internal/host/budget/budget.go
+++ b/internal/host/budget/budget.go
@@ -11,6 +11,9 @@
 	"github.com/hickoryridge/hickoryridge/ident"
 )
 
+// HeaderLine is the memory for one HTTP header besides its text.
+const HeaderLine ident.Bytes = 128
+
 // sourceShare is the fraction of a budget that one source may draw.
 const sourceShare = 0.75
 
--- a/internal/target/http1/conn.go
+++ b/internal/target/http1/conn.go
@@ -37,8 +37,6 @@
 	// maxHeadBytes limits the memory for the heads before a response body, because a faulty target may send
 	// headers without end.
 	maxHeadBytes = 256 << 10
-	// headerLineBytes is the memory for one header besides its text.
-	headerLineBytes = 128
 	// freeHeadBytes is the memory for a head that draws on no budget.
 	freeHeadBytes = 8 << 10
 )
@@ -88,7 +86,7 @@
 				return
 			}
 			h.line = 0
-			h.kept += headerLineBytes
+			h.kept += budget.HeaderLine
 		default:
 			h.line++
 		}
