e2e: one start of a process, one wait for a leaving instance

TestReaderOfLogEnds started its process by itself, and TestPlannedStopCutsNothing had its own wait for readiness to fail. Assertions are unchanged; both tests and TestStopWhileIdle pass.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -167,6 +167,13 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	c.startWith(i, f)
+}
+
+// startWith starts an instance, which writes its output to f. It closes f when the instance has exited.
+func (c *cluster) startWith(i int, f *os.File) {
+	c.t.Helper()
+	nd := c.nodes[i]
 	nd.cmd = exec.Command(daemonPath, "serve", "-settings", nd.settingsPath)
 	nd.cmd.Stdout, nd.cmd.Stderr = f, f
 	if err := nd.cmd.Start(); err != nil {
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -55,10 +55,7 @@
 	}
 	c.await("streams in progress", func() bool { return runningRequests(c) == streams })
 	c.signal(stopped, syscall.SIGTERM)
-	c.await("the readiness check to fail", func() bool {
-		a := do(http.MethodGet, c.callersURL(stopped)+"/readyz", nil, nil)
-		return a.status == http.StatusServiceUnavailable
-	})
+	c.awaitLeaving(stopped)
 	c.signal(stopped, syscall.SIGTERM)
 	rejected := do(http.MethodPost, c.callersURL(stopped)+"/v1/chat/completions", nil, chatBody("late", 1))
 	if code, ran := rejected.code(); code != "draining" || ran != "no" || rejected.header.Get("Retry-After") == "" {
--- a/e2e/signals_test.go
+++ b/e2e/signals_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -138,15 +136,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	nd := c.nodes[0]
-	nd.cmd = exec.Command(daemonPath, "serve", "-settings", nd.settingsPath)
-	nd.cmd.Stdout, nd.cmd.Stderr = w, w
-	if err := nd.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	nd.exited = make(chan error, 1)
-	go func(cmd *exec.Cmd, exited chan error) { exited <- cmd.Wait() }(nd.cmd, nd.exited)
-	if err := errors.Join(w.Close(), r.Close()); err != nil {
+	c.startWith(0, w)
+	if err := r.Close(); err != nil {
 		t.Fatal(err)
 	}
 	c.awaitReady(0)
