--- a/internal/caller/http1/body.go
+++ b/internal/caller/http1/body.go
@@ -17,7 +17,7 @@
 	bodyCopies = 2
 )
 
-// hostOf returns the caller's host, which is the source of what it sends.
+// hostOf returns the caller's host.
 func hostOf(c net.Conn) string {
 	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
 	if err != nil {
--- a/internal/caller/http1/conn.go
+++ b/internal/caller/http1/conn.go
@@ -16,6 +16,7 @@
 type conn struct {
 	net.Conn
 	guard *Guard
+	host  string // of the caller, the source of what it sends
 
 	mu              sync.Mutex
 	timer           *time.Timer
--- a/internal/caller/http1/guard.go
+++ b/internal/caller/http1/guard.go
@@ -70,7 +70,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, guard: l.guard, header: l.guard.memory.Account(hostOf(nc), freeHeaderBytes)}
+	c := &conn{Conn: nc, guard: l.guard, host: hostOf(nc)}
+	c.header = l.guard.memory.Account(c.host, freeHeaderBytes)
 	l.guard.add(c)
 	return c, nil
 }
@@ -92,7 +93,7 @@
 			if c, ok := guardedConn(c); ok {
 				c.requestRead()
 				w = &answer{ResponseWriter: w, conn: c}
-				body := g.memory.Account(hostOf(c), freeBodyBytes)
+				body := g.memory.Account(c.host, freeBodyBytes)
 				defer body.Release()
 				r.Body = &countedBody{ReadCloser: r.Body, account: &body}
 			}
