leader: no order from an announcement older than the last one

An engine that has reached its version was drained and changed again.

Cause: the leader learns from the engine itself that an order is done, and opened the next one 95 ms later from the engine's announcement, which was older and still showed the old version. An announcement counts for as long as its lease. Ruled out: a lost order that is sent again (the ids differ), a change of leader (the log has one).

Now a service is not planned for while the announcement of one of its engines contradicts the last order that this engine has done, for the length of the lease. A new leader counts from its own beginning. A failed order, a restarted engine and an older announcement than that change nothing.

Test: TestOutdatedAnnouncement; without the check two of its six cases are planned for.

--- a/leader/coordinator.go
+++ b/leader/coordinator.go
@@ -70,6 +70,7 @@
 	plans        *rolePlans
 	work         *engineWork
 	sentAt       map[ident.OrderID]clock.Time   // last send by this leader; zero before it
+	settledAt    map[ident.TargetID]clock.Time  // when this leader learned that the engine's last order was done or failed
 	refused      map[ident.OrderID]bool         // orders whose fencing token the engine refused
 	waitReasons  map[ident.OrderID]string       // why an open order is not sent yet, for reports
 	claims       map[ident.BootID][]state.Claim // long-open receipts of live runs
@@ -79,7 +80,8 @@
 func NewCoordinator(cfg Config) *Coordinator {
 	return &Coordinator{
 		cfg: cfg, leases: NewLeases(), loadTotals: inflight.New(), placements: newPlacementLog(), permits: newAllocator(cfg.Permits), plans: newRolePlans(), work: newEngineWork(), sentAt: map[ident.OrderID]clock.Time{},
-		refused: map[ident.OrderID]bool{}, waitReasons: map[ident.OrderID]string{},
+		settledAt: map[ident.TargetID]clock.Time{},
+		refused:   map[ident.OrderID]bool{}, waitReasons: map[ident.OrderID]string{},
 	}
 }
 
@@ -151,6 +153,7 @@
 		co.plans = newRolePlans()
 		co.work = newEngineWork()
 		clear(co.sentAt)
+		clear(co.settledAt)
 		clear(co.refused)
 		clear(co.waitReasons)
 	}
--- a/leader/drive.go
+++ b/leader/drive.go
@@ -59,6 +59,7 @@
 	case Settle:
 		co.mu.Lock()
 		delete(co.sentAt, order.ID)
+		co.settledAt[order.Engine] = clock.Now()
 		co.mu.Unlock()
 		co.cfg.Log.WithFields(logrus.Fields{
 			"event": "order_settled", "order": order.ID, "engine": order.Engine, "outcome": step.Outcome, "reason": step.Reason,
--- a/leader/roles.go
+++ b/leader/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -23,16 +24,14 @@
 	co.mu.Lock()
 	co.plans.observe(clock.Now(), doc.Services)
 	co.mu.Unlock()
-	open, _ := co.cfg.Machine.Orders()
-	busy := map[ident.TargetID]bool{}
-	for _, order := range open {
-		busy[order.Engine] = true
-	}
+	open, settled := co.cfg.Machine.Orders()
 	for i := range doc.Services {
 		s := &doc.Services[i]
 		switch {
 		case s.Kind == desired.KindModel:
-			co.planService(ctx, doc, s, busy)
+			if engines, ok := co.idleEngines(s.Name, open, settled); ok {
+				co.planService(ctx, doc, s, engines)
+			}
 		case co.cfg.Stages && s.KVCapacity > 0: // forwarded service whose targets are engines
 			co.planStages(ctx, s.Name, open)
 		}
@@ -54,18 +53,47 @@
 	return doc, nil
 }
 
-func (co *Coordinator) planService(ctx context.Context, doc *desired.Document, s *desired.Service, busy map[ident.TargetID]bool) {
+// idleEngines returns the usable engines of a service. It reports false while one of them changes, or has changed
+// without having announced it yet: a service has one change at a time.
+func (co *Coordinator) idleEngines(service ident.ServiceID, open, settled []state.Order) ([]target.Record, bool) {
+	targets := co.cfg.Targets()
 	now := clock.Now()
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	changing := map[ident.TargetID]bool{}
+	for _, order := range open {
+		changing[order.Engine] = true
+	}
+	last := map[ident.TargetID]state.Order{}
+	for _, order := range settled {
+		last[order.Engine] = order
+	}
 	var engines []target.Record
-	for _, r := range co.cfg.Targets() {
-		if r.Service != s.Name || r.Engine == nil || !r.Usable(now) {
+	for _, r := range targets {
+		if r.Service != service || r.Engine == nil || !r.Usable(now) {
 			continue
 		}
-		if busy[r.Target] || r.Engine.Busy {
-			return // one change per service at a time
+		if changing[r.Target] || r.Engine.Busy || outdated(r, last[r.Target], now.Sub(max(co.settledAt[r.Target], co.leadingSince))) {
+			return nil, false
 		}
 		engines = append(engines, r)
 	}
+	return engines, true
+}
+
+// outdated reports whether an engine's announcement may be older than the end of its last order, of which the leader
+// learned from the engine itself, since ago. An announcement lives no longer than its lease.
+func outdated(r target.Record, last state.Order, since time.Duration) bool {
+	if last.Outcome != state.OrderDone || last.Incarnation != r.Incarnation || since >= r.Lease.AsDuration() {
+		return false
+	}
+	spec := last.Spec
+	return spec.Role != "" && spec.Role != r.Engine.Role ||
+		spec.Version != "" && (spec.Model != r.Engine.Model || spec.Version != r.Engine.Version)
+}
+
+// planService opens an order to one of a service's engines, all of which are idle, if it should change.
+func (co *Coordinator) planService(ctx context.Context, doc *desired.Document, s *desired.Service, engines []target.Record) {
 	if r, spec, ok := firstMismatch(doc, s, engines); ok {
 		co.openOrder(ctx, r, spec)
 		return
