quarantine: a request sent to a crashed target says nothing of the crash

All voters log the quarantine and its end one after the other.

Cause: three crashes within 4 ms are three moments if each request was sent after the crash before. Every later try that the dead replica refused was reported for the same crash, and the record kept the earliest time of the crash and the longest time from sending, of different requests: 0.76 ms became 1.09 ms in the trace, and the crashes were one moment again. Ruled out: answers (0), announcements after the crash (none in the trace).

A request that was sent when its target had crashed already tells nothing more of this crash; two requests that were at it keep the earliest sending. Wire and facts are unchanged; voters of both builds read the same reports, and can differ for the moment as two voters always could.

Test: TestEvidence, "a request that was sent to a crashed target again", fails without the fix; beside it an outage after which two targets are tried again stays an outage.

--- a/internal/cluster/quarantine/evidence.go
+++ b/internal/cluster/quarantine/evidence.go
@@ -39,6 +39,21 @@
 	return c.at.Sub(first.at) < crashSpan && sentBefore
 }
 
+// merge returns the crash with another report of it: of another request that was at the target, or of one that was
+// sent when it had crashed already, which tells nothing more.
+func (c crash) merge(other crash) crash {
+	if other.sent != 0 && other.at.Add(-other.sent) >= c.at {
+		return c
+	}
+	merged := crash{at: min(c.at, other.at), weight: max(c.weight, other.weight)}
+	if c.sent == 0 || other.sent == 0 {
+		merged.sent = max(c.sent, other.sent)
+		return merged
+	}
+	merged.sent = merged.at.Sub(min(c.at.Add(-c.sent), other.at.Add(-other.sent)))
+	return merged
+}
+
 type answers struct {
 	count int
 	at    clock.Time
@@ -96,12 +111,14 @@
 	if c.Head {
 		weight = headWeight
 	}
-	if seen {
-		at = min(at, known.at)
-	} else if len(r.crashes) == 1 {
+	if !seen && len(r.crashes) == 1 {
 		r.second = now
 	}
-	r.crashes[c.Crash] = crash{at, max(c.Sent, known.sent), max(weight, known.weight)}
+	this := crash{at, c.Sent, weight}
+	if seen {
+		this = known.merge(this)
+	}
+	r.crashes[c.Crash] = this
 }
 
 // record returns the record of a part, which it creates if necessary, or nil if there are too many.
--- a/internal/cluster/quarantine/quarantine_test.go
+++ b/internal/cluster/quarantine/quarantine_test.go
@@ -102,6 +102,12 @@
 			[]at{{0, requestOf(crashOf("t1", false, "request"))}, {400, requestOf(crashOf("t2", false, "request"))}, {800, requestOf(crashOf("t3", false, "request"))}}, []string{"request"}, 1000},
 		"a request that was sent again at once": {
 			[]at{{0, sentFor(10, requestOf(crashOf("t1", false, "request")))}, {20, sentFor(19, requestOf(crashOf("t2", false, "request")))}, {40, sentFor(19, requestOf(crashOf("t3", false, "request")))}}, []string{"request"}, 1000},
+		"a request that was sent to a crashed target again": {
+			[]at{{0, sentFor(10, requestOf(crashOf("t1", false, "request")))}, {20, sentFor(19, requestOf(crashOf("t2", false, "request")))}, {40, sentFor(19, requestOf(crashOf("t3", false, "request")))},
+				{60, sentFor(25, requestOf(crashOf("t2", false, "request")))}}, []string{"request"}, 1000},
+		"a request that was at three targets in an outage, of which two are tried again": {
+			[]at{{0, sentFor(10, requestOf(crashOf("t1", false, "request")))}, {20, sentFor(21, requestOf(crashOf("t2", false, "request")))}, {40, sentFor(45, requestOf(crashOf("t3", false, "request")))},
+				{60, sentFor(2, requestOf(crashOf("t2", false, "request")))}, {61, sentFor(2, requestOf(crashOf("t3", false, "request")))}}, nil, 1000},
 		"a request that was at three targets in an outage": {
 			[]at{{0, sentFor(10, requestOf(crashOf("t1", false, "request")))}, {20, sentFor(21, requestOf(crashOf("t2", false, "request")))}, {40, sentFor(45, requestOf(crashOf("t3", false, "request")))}}, nil, 1000},
 		"a request that was answered once": {
