router: the work for a prompt is bounded, whatever length it claims

Cause: PartBlockHashes makes a hash for each 1,024 tokens that are named, before admission, here and at the voter that places.

--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -86,6 +86,9 @@
 	defer cancel()
 	r := &forwardRun{d: d, req: f, sink: sink, lastEventID: f.LastEventID, hasEngines: len(f.Parts) > 0, digest: f.Digest(), promptTokens: router.PartTokens(f.Parts)}
 	if r.hasEngines {
+		if err := f.checkPrompt(r.promptTokens); err != nil {
+			return r.fail(ctx, err)
+		}
 		r.blocks = router.PartBlockHashes(nil, f.Parts)
 	}
 	if err := r.takeUp(ctx); err != nil {
@@ -106,6 +109,19 @@
 	return nil
 }
 
+// checkPrompt refuses a prompt that is larger than the memory of the service's engines. They reject it as if they were
+// full, one after the other.
+func (f *ForwardRequest) checkPrompt(tokens ident.Tokens) error {
+	most := router.MaxPromptTokens
+	if s, ok := f.Config.Document.Service(f.Service); ok && s.KVCapacity > 0 {
+		most = min(most, s.KVCapacity)
+	}
+	if tokens <= most {
+		return nil
+	}
+	return fault.New(fault.Overloaded, "the prompt is longer than the %d tokens that a target of service %q has memory for", most, f.Service)
+}
+
 // logFinished logs a request that was answered completely.
 func (r *forwardRun) logFinished() {
 	r.d.cfg.Log.WithFields(logrus.Fields{
