--- /dev/null
+++ b/review/standin2/limit.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+// Figures of the case.
+const (
+	// largestLimit is what the replica names: a decimal number of requests a second. The pages set no largest one.
+	largestLimit = "18446744073709551615"
+	limitAfter   = 5 * time.Second // from the start of traffic
+	limitLength  = 40 * time.Second
+	maxOwnEnds   = 2 // processes of a machine may end by themselves so often in a day
+)
+
+// namedLimit checks that processes go on when a replica names a Server-Limit.
+func namedLimit(r *run) (string, error) {
+	var naming atomic.Pointer[replica]
+	serve := func(rep *replica, w http.ResponseWriter, req *http.Request) {
+		if naming.Load() == rep {
+			w.Header().Set("Server-Limit", largestLimit)
+		}
+		time.Sleep(deskWork / 2)
+		w.Header().Set("X-Response-Signature", "s."+req.Header.Get("X-Request-Id"))
+		_, _ = fmt.Fprintf(w, "paid: %s", req.Header.Get("X-Request-Id")) // the requester sees what is missing
+	}
+	if err := r.startAll(deskDocument()); err != nil {
+		return "", err
+	}
+	var replicas []*replica
+	for i := range deskReplicas {
+		rep, err := r.newReplica(replicaConfig{service: "desk", zone: zoneOrder[i%len(zoneOrder)], serve: serve})
+		if err != nil {
+			return "", err
+		}
+		replicas = append(replicas, rep)
+	}
+	time.Sleep(settleTime)
+	if r.trouble {
+		time.AfterFunc(limitAfter, func() {
+			rep := replicas[rand.IntN(len(replicas))]
+			naming.Store(rep)
+			id, _ := rep.identity()
+			r.note("replica %s names Server-Limit: %s from now on", id, largestLimit)
+		})
+	}
+	q := &requesters{rec: r.record}
+	every(15*time.Millisecond, limitLength, func(n int) {
+		q.send(r.entries[n%len(r.entries)], request{
+			method: http.MethodPost, path: fmt.Sprintf("/pay/%d", n), body: fmt.Sprintf("payment %d", n), budget: 2500 * time.Millisecond,
+		})
+	})
+	q.pending.Wait()
+	return judgeEnds(r, q, replicas)
+}
+
+// judgeEnds applies the rule Fault, and counts the payments that replicas have got and that stay without an answer.
+func judgeEnds(r *run, q *requesters, replicas []*replica) (string, error) {
+	arrived := map[string]bool{}
+	for _, rep := range replicas {
+		for _, a := range rep.requests() {
+			arrived[a.id] = true
+		}
+	}
+	served, lost := 0, 0
+	for _, res := range q.all() {
+		switch {
+		case res.status == http.StatusOK && res.complete:
+			served++
+		case res.status == 0 && arrived[res.id]:
+			lost++
+		}
+	}
+	if served == 0 {
+		return "", errors.New("nothing was served")
+	}
+	over, core := 0, 0
+	for _, m := range r.machines() {
+		r.note("%s: its process ended by itself %d times", m.name, r.endsOf(m))
+		if r.endsOf(m) <= maxOwnEnds {
+			continue
+		}
+		over++
+		if slices.Contains(r.voters, m) {
+			core++
+		}
+	}
+	r.note("%d payments sent, %d served, %d reached a replica and their channel ended without an answer", len(q.all()), served, lost)
+	if over < max(2, (len(r.machines())+9)/10) && 2*core < len(r.voters) {
+		return "", nil
+	}
+	return fmt.Sprintf("Fault: on %d of %d machines in use, %d of them of the core, processes ended by themselves three times or more, with no impairment there; %d payments that replicas had got stay without an answer", over, len(r.machines()), core, lost), nil
+}
