--- a/review/standin2/limit.go
+++ b/review/standin2/limit.go
@@ -23,28 +23,38 @@
 func namedLimit(r *run) (string, error) {
 	var naming atomic.Pointer[replica]
 	serve := func(rep *replica, w http.ResponseWriter, req *http.Request) {
-		if naming.Load() == rep {
-			w.Header().Set("Server-Limit", largestLimit)
-		}
 		time.Sleep(deskWork / 2)
 		w.Header().Set("X-Response-Signature", "s."+req.Header.Get("X-Request-Id"))
 		_, _ = fmt.Fprintf(w, "paid: %s", req.Header.Get("X-Request-Id")) // the requester sees what is missing
 	}
-	if err := r.startAll(deskDocument()); err != nil {
+	advise := func(rep *replica, w http.ResponseWriter, req *http.Request) {
+		if naming.Load() == rep {
+			w.Header().Set("Server-Limit", largestLimit)
+		}
+		stream(w, req, func(int) bool { return true })
+	}
+	if err := r.startAll(bothDocuments()); err != nil {
 		return "", err
 	}
-	var replicas []*replica
+	var desk, advisor []*replica
 	for i := range deskReplicas {
 		rep, err := r.newReplica(replicaConfig{service: "desk", zone: zoneOrder[i%len(zoneOrder)], serve: serve})
 		if err != nil {
 			return "", err
 		}
-		replicas = append(replicas, rep)
+		desk = append(desk, rep)
+	}
+	for i := range engines {
+		rep, err := r.newReplica(replicaConfig{service: "advisor", zone: zoneOrder[i%len(zoneOrder)], engine: true, serve: advise})
+		if err != nil {
+			return "", err
+		}
+		advisor = append(advisor, rep)
 	}
 	time.Sleep(settleTime)
 	if r.trouble {
 		time.AfterFunc(limitAfter, func() {
-			rep := replicas[rand.IntN(len(replicas))]
+			rep := advisor[rand.IntN(len(advisor))]
 			naming.Store(rep)
 			id, _ := rep.identity()
 			r.note("replica %s names Server-Limit: %s from now on", id, largestLimit)
@@ -55,12 +65,15 @@
 		q.send(r.entries[n%len(r.entries)], request{
 			method: http.MethodPost, path: fmt.Sprintf("/pay/%d", n), body: fmt.Sprintf("payment %d", n), budget: 2500 * time.Millisecond,
 		})
+		if n%2 == 0 {
+			q.send(r.entries[n/2%len(r.entries)], advice(n, false))
+		}
 	})
 	q.pending.Wait()
-	return judgeEnds(r, q, replicas)
+	return judgeEnds(r, q, append(desk, advisor...))
 }
 
-// judgeEnds applies the rule Fault, and counts the payments that replicas have got and that stay without an answer.
+// judgeEnds applies the rule Fault, and counts the requests that replicas have got and that stay without an answer.
 func judgeEnds(r *run, q *requesters, replicas []*replica) (string, error) {
 	arrived := map[string]bool{}
 	for _, rep := range replicas {
@@ -91,9 +104,18 @@
 			core++
 		}
 	}
-	r.note("%d payments sent, %d served, %d reached a replica and their channel ended without an answer", len(q.all()), served, lost)
+	r.note("%d requests sent, %d served; %d reached a replica, and their channel ended without an answer", len(q.all()), served, lost)
 	if over < max(2, (len(r.machines())+9)/10) && 2*core < len(r.voters) {
 		return "", nil
 	}
-	return fmt.Sprintf("Fault: on %d of %d machines in use, %d of them of the core, processes ended by themselves three times or more, with no impairment there; %d payments that replicas had got stay without an answer", over, len(r.machines()), core, lost), nil
+	return fmt.Sprintf("Fault: on %d of %d machines in use, %d of them of the core, processes ended by themselves three times or more, with no impairment there; %d requests that replicas had got stay without an answer", over, len(r.machines()), core, lost), nil
+}
+
+// bothDocuments returns a document with both services.
+func bothDocuments() map[string]any {
+	doc, other := deskDocument(), advisorDocument()
+	for _, list := range []string{"routes", "services"} {
+		doc[list] = append(doc[list].([]any), other[list].([]any)...)
+	}
+	return doc
 }
