--- a/review/standin2/deadly.go
+++ b/review/standin2/deadly.go
@@ -130,14 +130,17 @@
 	}
 	time.Sleep(settleTime)
 	q := &requesters{rec: r.record}
+	sound := map[string]bool{}
 	every(50*time.Millisecond, deadlyLength, func(n int) {
-		q.send(r.entries[n%len(r.entries)], advice(2*n, false))
+		sound[q.send(r.entries[n%len(r.entries)], advice(2*n, false))] = true
 		if n%10 == 5 {
 			q.send(r.entries[n/10%len(r.entries)], advice(2*n+1, true))
 		}
 	})
 	q.pending.Wait()
-	return judgeDeadly(r, q, replicas, crashes.all())
+	crashed := crashes.all()
+	noteSound(r, q, sound, crashed)
+	return judgeDeadly(r, q, replicas, crashed)
 }
 
 // stream writes the events of an answer after the one that Last-Event-Id names. It stops once more returns false, which it calls with the
@@ -163,6 +166,29 @@
 	}
 }
 
+// noteSound records how many sound requests have begun to be answered before the first crash, and how many later than 2 x contactMs after
+// the fifth.
+func noteSound(r *run, q *requesters, sound map[string]bool, crashes []time.Time) {
+	if len(crashes) < deadCrash {
+		return
+	}
+	var sent, begun, sentAfter, begunAfter int
+	for _, res := range q.all() {
+		began := 0
+		if res.status == http.StatusOK {
+			began = 1
+		}
+		switch {
+		case !sound[res.id]:
+		case res.sent.Before(crashes[0]):
+			sent, begun = sent+1, begun+began
+		case res.sent.After(crashes[deadCrash-1].Add(2 * contactBound)):
+			sentAfter, begunAfter = sentAfter+1, begunAfter+began
+		}
+	}
+	r.note("sound requests that have begun: %d of %d before the first crash, %d of %d later than 2 x contactMs after the fifth", begun, sent, begunAfter, sentAfter)
+}
+
 // judgeDeadly applies the rule BUDGET, and counts what the crashes cost others.
 func judgeDeadly(r *run, q *requesters, replicas []*replica, crashes []time.Time) (string, error) {
 	served, cut := 0, 0
--- a/review/standin2/leaving.go
+++ b/review/standin2/leaving.go
@@ -16,7 +16,6 @@
 	leaveAfter    = 6 * time.Second         // from the start of traffic
 	exitAfter     = 3200 * time.Millisecond // from its first word that it leaves, without an acknowledgement
 	leavingLength = 14 * time.Second
-	beatMargin    = 20 * time.Millisecond
 )
 
 func deskDocument() map[string]any {
@@ -40,9 +39,7 @@
 		if rep.leaves() {
 			w.Header().Set("Server-Leaving", "1")
 		}
-		time.Sleep(deskWork)
-		w.Header().Set("X-Response-Signature", "s."+req.Header.Get("X-Request-Id"))
-		_, _ = fmt.Fprintf(w, "paid: %s", req.Header.Get("X-Request-Id")) // the requester sees what is missing
+		pay(rep, w, req)
 	}
 	if err := r.startAll(deskDocument()); err != nil {
 		return "", err
@@ -60,9 +57,7 @@
 	time.AfterFunc(leaveAfter, func() { gone.leave(r.trouble) })
 	q := &requesters{rec: r.record}
 	every(15*time.Millisecond, leavingLength, func(n int) {
-		q.send(r.entries[n%len(r.entries)], request{
-			method: http.MethodPost, path: fmt.Sprintf("/pay/%d", n), body: fmt.Sprintf("payment %d", n), budget: 2500 * time.Millisecond,
-		})
+		q.send(r.entries[n%len(r.entries)], payment(n))
 	})
 	q.pending.Wait()
 	return judgeLeaving(r, q, gone)
@@ -77,18 +72,7 @@
 
 // leave takes the replica away, as planned. If it is cut off from the core, it gets no acknowledgement and ends some seconds later.
 func (rep *replica) leave(cutOff bool) {
-	rep.mu.Lock()
-	seen := rep.lastAck
-	rep.mu.Unlock()
-	for { // a report has just been acknowledged
-		rep.mu.Lock()
-		fresh := rep.lastAck.After(seen)
-		rep.mu.Unlock()
-		if fresh {
-			break
-		}
-		time.Sleep(beatMargin)
-	}
+	rep.awaitAcknowledged()
 	rep.mu.Lock()
 	rep.cutOff, rep.state = cutOff, "draining"
 	id := rep.id
--- a/review/standin2/limit.go
+++ b/review/standin2/limit.go
@@ -22,11 +22,6 @@
 // namedLimit checks that processes go on when a replica names a Server-Limit.
 func namedLimit(r *run) (string, error) {
 	var naming atomic.Pointer[replica]
-	serve := func(rep *replica, w http.ResponseWriter, req *http.Request) {
-		time.Sleep(deskWork / 2)
-		w.Header().Set("X-Response-Signature", "s."+req.Header.Get("X-Request-Id"))
-		_, _ = fmt.Fprintf(w, "paid: %s", req.Header.Get("X-Request-Id")) // the requester sees what is missing
-	}
 	advise := func(rep *replica, w http.ResponseWriter, req *http.Request) {
 		if naming.Load() == rep {
 			w.Header().Set("Server-Limit", largestLimit)
@@ -38,7 +33,7 @@
 	}
 	var desk, advisor []*replica
 	for i := range deskReplicas {
-		rep, err := r.newReplica(replicaConfig{service: "desk", zone: zoneOrder[i%len(zoneOrder)], serve: serve})
+		rep, err := r.newReplica(replicaConfig{service: "desk", zone: zoneOrder[i%len(zoneOrder)], serve: pay})
 		if err != nil {
 			return "", err
 		}
@@ -56,15 +51,12 @@
 		time.AfterFunc(limitAfter, func() {
 			rep := advisor[rand.IntN(len(advisor))]
 			naming.Store(rep)
-			id, _ := rep.identity()
-			r.note("replica %s names Server-Limit: %s from now on", id, largestLimit)
+			r.note("replica %s names Server-Limit: %s from now on", rep.currentID(), largestLimit)
 		})
 	}
 	q := &requesters{rec: r.record}
 	every(15*time.Millisecond, limitLength, func(n int) {
-		q.send(r.entries[n%len(r.entries)], request{
-			method: http.MethodPost, path: fmt.Sprintf("/pay/%d", n), body: fmt.Sprintf("payment %d", n), budget: 2500 * time.Millisecond,
-		})
+		q.send(r.entries[n%len(r.entries)], payment(n))
 		if n%2 == 0 {
 			q.send(r.entries[n/2%len(r.entries)], advice(n, false))
 		}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -30,10 +30,12 @@
 type testCase func(*run) (broken string, err error)
 
 var cases = map[string]testCase{
-	"deadly":  deadlyPart,
-	"late":    lateReports,
-	"leaving": leavingReplica,
-	"limit":   namedLimit,
+	"deadly":    deadlyPart,
+	"forgotten": forgottenLeave,
+	"late":      lateReports,
+	"leaving":   leavingReplica,
+	"limit":     namedLimit,
+	"reborn":    rebornReplica,
 }
 
 // run is one run of a case.
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -16,6 +16,8 @@
 const (
 	replicaPort  = 8080
 	replicaSlots = 24
+	firstVersion = "v1" // of the replicas' software
+	ackPoll      = 20 * time.Millisecond
 	settleTime   = 3 * time.Second // until the system has all replicas
 )
 
@@ -47,6 +49,7 @@
 
 	mu       sync.Mutex
 	id       string
+	version  string
 	born     int64
 	sequence int
 	state    string
@@ -73,17 +76,22 @@
 
 // boot starts the replica, with an id of its own.
 func (rep *replica) boot() error {
+	return rep.bootAs(fmt.Sprintf("i-%08x", rand.Uint32()), firstVersion)
+}
+
+// bootAs starts the replica with an id and a version of its software.
+func (rep *replica) bootAs(id, version string) error {
 	l, err := net.Listen("tcp", rep.addr())
 	if err != nil {
 		return err
 	}
 	rep.mu.Lock()
-	rep.id = fmt.Sprintf("i-%08x", rand.Uint32())
+	rep.id, rep.version = id, version
 	rep.born, rep.sequence, rep.state, rep.up, rep.listener = time.Now().UnixMilli(), 0, "ready", true, l
 	rep.mu.Unlock()
 	server := &http.Server{Handler: http.HandlerFunc(rep.handle), ConnState: rep.connState}
 	go func() { _ = server.Serve(l) }() // ends with the listener
-	rep.rec.note("replica %s of %s starts at %s", rep.id, rep.service, rep.addr())
+	rep.rec.note("replica %s of %s, version %s, starts at %s", id, rep.service, version, rep.addr())
 	rep.announce()
 	return nil
 }
@@ -121,16 +129,42 @@
 	return true
 }
 
-// identity returns the id and whether the replica runs.
-func (rep *replica) identity() (id string, up bool) {
+// currentID returns the id of the replica's last start.
+func (rep *replica) currentID() string {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	return rep.id
+}
+
+// softwareVersion returns the version of the replica's software.
+func (rep *replica) softwareVersion() string {
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
-	return rep.id, rep.up
+	return rep.version
+}
+
+// setCutOff cuts the replica's announcements off from the core, or ends that.
+func (rep *replica) setCutOff(off bool) {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	rep.cutOff = off
+}
+
+// awaitAcknowledged waits until a liveness report has just been acknowledged.
+func (rep *replica) awaitAcknowledged() {
+	acknowledged := func() time.Time {
+		rep.mu.Lock()
+		defer rep.mu.Unlock()
+		return rep.lastAck
+	}
+	for seen := acknowledged(); acknowledged().Equal(seen); {
+		time.Sleep(ackPoll)
+	}
 }
 
 // handle takes a request: it answers reports itself, turns away what is meant for another replica, and serves the rest.
 func (rep *replica) handle(w http.ResponseWriter, req *http.Request) {
-	id, _ := rep.identity()
+	id := rep.currentID()
 	w.Header().Set("X-Instance-Id", id)
 	if requestID := req.Header.Get("X-Request-Id"); requestID != "" {
 		w.Header().Set("X-Request-Id", requestID)
@@ -196,7 +230,7 @@
 	}
 	rep.sequence++
 	report := map[string]any{
-		"service": rep.service, "addr": rep.addr(), "zone": rep.zone, "version": "v1", "slots": replicaSlots, "state": rep.state, "coldLeftMs": 0,
+		"service": rep.service, "addr": rep.addr(), "zone": rep.zone, "version": rep.version, "slots": replicaSlots, "state": rep.state, "coldLeftMs": 0,
 		"sequence": rep.sequence, "born": rep.born,
 	}
 	if rep.engine {
