--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 standins=review/bin/standins-2
 [ -x "$standins" ] && [ -x target/hickoryridge ] || exit 2 # not built
-exec "$standins" -case late -record review/10/record.txt
+exec "$standins" -case leaving -record review/10/record.txt
