tcp: an answer whose target resets the connection during the upload is cut, not whole

What callers saw: a target answered a long request at once with a 200 without a length, sent a part of its body and reset the connection while the request was still being written. The caller got the part as a complete answer.

Cause: the kernel reports a reset to one call. The request is written beside the answer's reading, and the write got ECONNRESET; the next read then returned 0 bytes, which is the end of an answer without a length. An instance that carries a connection for another one told it the same (peer.carry).

Change: tcp.Dial returns a tcp.Conn. Its Read returns io.EOF only if no write was told of the loss; a write in progress is ended first, so that what it was told is known. EPIPE is no loss: the kernel returns it after the peer has ended its direction, so an answer that was ended before the rest of the request was refused stays whole (two cases of TestResetDuringUpload).

--- a/internal/net/tcp/tcp.go
+++ b/internal/net/tcp/tcp.go
@@ -6,6 +6,8 @@
 // default. This package limits the time for which data may stay unacknowledged and the
 // number of keep-alive probes without a reply.
 //
+// The end of what the peer sends is told from the loss of the connection, also while something is written to it; see Conn.
+//
 // The kernel buffers megabytes for each connection whose peer reads slowly, or that this process does not read. Where
 // there are hundreds of them, Options bounds these buffers.
 package tcp
@@ -35,13 +37,17 @@
 // maxProbes is the number of unacknowledged probes after which a connection is closed.
 const maxProbes = 3
 
-// Dial opens a connection to addr.
+// Dial opens a connection to addr. Without an error, it is a *Conn.
 func Dial(ctx context.Context, addr string, o Options) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout: o.DialTimeout, KeepAliveConfig: o.keepAlive(),
 		Control: func(_, _ string, c syscall.RawConn) error { return o.set(c) },
 	}
-	return d.DialContext(ctx, "tcp", addr)
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: c.(*net.TCPConn)}, nil
 }
 
 // Listen opens a listener whose connections have the same timeouts and buffers.
--- a/internal/target/http1/client.go
+++ b/internal/target/http1/client.go
@@ -36,7 +36,7 @@
 type Options struct {
 	Connection tcp.Options
 	// Dial opens a connection to a target. If it is nil, connections are opened directly, with the
-	// options in Connection. A connection of another type than *net.TCPConn carries one request.
+	// options in Connection. A connection of another type than *tcp.Conn carries one request.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Broken is called with the address of a connection on which a request got no response, unless the
 	// context of the request had ended. It may be nil.
--- a/internal/target/http1/conn.go
+++ b/internal/target/http1/conn.go
@@ -10,6 +10,7 @@
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/host/budget"
+	"github.com/hickoryridge/hickoryridge/internal/net/tcp"
 )
 
 const readBufferBytes = 4 << 10
@@ -108,14 +109,14 @@
 // reusable reports whether the connection may carry another request. Only on a TCP connection to the
 // target itself can be seen what has arrived in the meantime.
 func (c *conn) reusable() bool {
-	_, ok := c.net.(*net.TCPConn)
+	_, ok := c.net.(*tcp.Conn)
 	return ok
 }
 
 // stillIdle reports whether nothing has arrived since the last response: no byte, no end of
 // the stream and no reset.
 func (c *conn) stillIdle() bool {
-	direct, ok := c.net.(*net.TCPConn)
+	direct, ok := c.net.(*tcp.Conn)
 	if !ok || c.r.Buffered() > 0 {
 		return false
 	}
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -50,7 +50,8 @@
 
 func (*Connect) kind() kind { return kindConnect }
 
-// Dialer opens a connection to a target at an address that it checks first.
+// Dialer opens a connection to a target at an address that it checks first. Its Read returns io.EOF only if the target has
+// ended the connection, also while something is written; see tcp.Conn.
 type Dialer func(ctx context.Context, addr string) (net.Conn, error)
 
 // errNotCarried reports that an instance carries no connections.
--- a/peer/connect_test.go
+++ b/peer/connect_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/net/tcp"
 	"github.com/hickoryridge/hickoryridge/internal/task"
 )
 
@@ -94,9 +95,8 @@
 			go serve(c.(*net.TCPConn))
 		}
 	}()
-	return func(ctx context.Context, addr string) (net.Conn, error) {
-		var d net.Dialer
-		return d.DialContext(ctx, "tcp", l.Addr().String())
+	return func(ctx context.Context, _ string) (net.Conn, error) {
+		return tcp.Dial(ctx, l.Addr().String(), ConnectionOptions)
 	}
 }
 
@@ -149,6 +149,40 @@
 	}
 }
 
+// TestCarriedResetDuringUpload guards against an answer that is taken for complete although its target has reset the
+// connection, because the carrying instance was told of the reset as it wrote the request.
+func TestCarriedResetDuringUpload(t *testing.T) {
+	const (
+		rounds      = 20      // who is told of the reset is a matter of chance
+		uploadBytes = 8 << 20 // more than the kernel keeps
+	)
+	p := newPair(t, startTCP(t, func(c *net.TCPConn) {
+		if _, err := io.ReadFull(c, make([]byte, 100)); err != nil {
+			t.Error(err)
+		}
+		_, _ = io.WriteString(c, "part")
+		time.Sleep(5 * time.Millisecond)
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}))
+	for n := range rounds {
+		c, err := p.near.Connect(t.Context(), "far", "target")
+		if err != nil {
+			t.Fatal(err)
+		}
+		written := make(chan error, 1)
+		go func() {
+			_, err := c.Write(make([]byte, uploadBytes))
+			written <- err
+		}()
+		got, err := io.ReadAll(c)
+		_ = c.Close()
+		if werr := <-written; err == nil {
+			t.Fatalf("round %d: read %q as a complete answer; the write ended with %v", n, got, werr)
+		}
+	}
+}
+
 // TestConnectFails shows what an instance learns when no connection can be opened through another one.
 func TestConnectFails(t *testing.T) {
 	refused := func(context.Context, string) (net.Conn, error) {
