http1: a status outside 100 to 599 is no answer

What callers saw: a target answered with the status 000 (and a signature, a length and a body). The connection was closed without an answer: net/http's server panics at such a status, and the request was neither repeated nor answered as failed. The target did not count as broken. A status of 600 to 999 was passed on.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads, "000", "+20" and "-00" among them.

Change: internal/net/answer.Check, used on every response that the client reads, interim ones too. Such a response is a NoResponseError like any other bytes that are no answer: the outcome is unknown, a request that may be repeated goes to another target, another gets 502, the target counts as broken.

--- /dev/null
+++ b/internal/net/answer/answer.go
@@ -0,0 +1,25 @@
+// Package answer tells answers of HTTP/1.1 from others that package net/http reads too.
+//
+// What reads answers of others, such as targets, must not take a broken one for an answer: it would deliver a status, headers
+// or a body that the other side did not mean. net/http is lenient in places, because clients on the web have to be. An answer
+// that is broken is an error like that of a connection which has been closed.
+package answer
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Status codes that an answer may have.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// Check returns an error if a response that net/http has read is none in HTTP/1.1.
+func Check(resp *http.Response) error {
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		return fmt.Errorf("the status %q is none of HTTP", resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/target/http1/broken_test.go
@@ -0,0 +1,34 @@
+package http1
+
+import "testing"
+
+// brokenHeads are responses whose heads are no HTTP/1.1, by what is wrong. The target sends nothing more and closes the connection.
+var brokenHeads = map[string]string{
+	"status 000":                      "HTTP/1.1 000 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok",
+	"status 000, chunked":             "HTTP/1.1 000 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"status 000, no length":           "HTTP/1.1 000 \r\nId: ID\r\n\r\nok",
+	"status 099":                      "HTTP/1.1 099 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok",
+	"status +20":                      "HTTP/1.1 +20 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok",
+	"status -00":                      "HTTP/1.1 -00 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok",
+	"status -01":                      "HTTP/1.1 -01 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok",
+	"status 600":                      "HTTP/1.1 600 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok",
+	"status 999":                      "HTTP/1.1 999 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok",
+	"status of two digits":            "HTTP/1.1 20 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok",
+	"status of four digits":           "HTTP/1.1 2000 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok",
+	"status 000 after an interim one": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok",
+}
+
+// TestBrokenHeads guards against a response whose head is broken and that is taken for an answer, with what the target did not
+// mean as its status, its headers or its body.
+func TestBrokenHeads(t *testing.T) {
+	for name, raw := range brokenHeads {
+		t.Run(name, func(t *testing.T) {
+			tg := newTarget(t, sendAndEnd(raw))
+			c := New(Options{})
+			defer c.Close()
+			if got := outcome(t, c, tg.addr, "r"); got != "unknown" {
+				t.Errorf("%q, want no answer", got)
+			}
+		})
+	}
+}
--- a/internal/target/http1/exchange.go
+++ b/internal/target/http1/exchange.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/hickoryridge/hickoryridge/internal/net/answer"
 )
 
 const (
@@ -80,7 +82,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if err := answer.Check(resp); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		if x.request.Matches == nil || x.request.Matches(resp.Header, !x.conn.used) {
