--- a/internal/target/http1/broken_test.go
+++ b/internal/target/http1/broken_test.go
@@ -1,6 +1,9 @@
 package http1
 
-import "testing"
+import (
+	"strings"
+	"testing"
+)
 
 // brokenHeads are responses whose heads are no HTTP/1.1, by what is wrong. The target sends nothing more and closes the connection.
 var brokenHeads = map[string]string{
@@ -32,3 +35,31 @@
 		})
 	}
 }
+
+// TestHeadCutShort guards against a response that is taken for an answer although its target stopped in its head: at any byte,
+// whatever the length of the body is said to be.
+func TestHeadCutShort(t *testing.T) {
+	for name, head := range map[string]string{
+		"length":        "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\n",
+		"length of 0":   "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 0\r\n\r\n",
+		"chunked":       "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"no length":     "HTTP/1.1 200 OK\r\nId: ID\r\nX-Last: 1\r\n\r\n",
+		"no content":    "HTTP/1.1 204 No Content\r\nId: ID\r\n\r\n",
+		"after interim": "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 0\r\n\r\n",
+		"bare line end": "HTTP/1.1 200 OK\nId: ID\nContent-Length: 0\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for n := range len(head) {
+				if strings.HasSuffix(head[:n], "I") {
+					continue // the placeholder of the id
+				}
+				tg := newTarget(t, sendAndEnd(head[:n]))
+				c := New(Options{})
+				if got := outcome(t, c, tg.addr, "r"); got != "unknown" {
+					t.Errorf("cut after %q: %s, want no answer", head[:n], got)
+				}
+				c.Close()
+			}
+		})
+	}
+}
