net/answer: a blank in or around a header's name is no answer

What callers saw: a target answered with a head in which the name of a field held a blank. The caller got it as an answer: with "Content-Length : 4" the body was all that came until the connection ended, with "Transfer-Encoding : chunked" it was the bytes of the coding ("4\r\npart\r\n0\r\n\r\n"), and a line that begins with a blank or a tab became a part of the header before it. Control bytes in a name were refused already; their cases stay as tests.

Cause: http.ReadResponse lets blanks through in names, so that these are headers of another name, and appends lines that begin with white space to the value before.

Change: answer.Check refuses a name with a blank. Lines that begin with white space can't be seen afterwards, so package answer reads heads itself: Reader, made of what http1 had to limit them, returns a head without what is behind it, so that each head is checked, also one that comes in one piece with an interim answer or another one. RFC 9112 leaves a gateway the choice to answer 502 to such lines (5.2), and says that no blank may stand before the colon (5.1).

--- a/internal/net/answer/answer.go
+++ b/internal/net/answer/answer.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // Status codes that an answer may have.
@@ -21,5 +22,11 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return fmt.Errorf("the status %q is none of HTTP", resp.Status)
 	}
+	for name := range resp.Header {
+		// net/http refuses other bytes that are none of a name.
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("the name %q of a header contains a blank", name)
+		}
+	}
 	return nil
 }
--- a/internal/target/http1/client.go
+++ b/internal/target/http1/client.go
@@ -301,7 +301,7 @@
 	if err != nil {
 		x.stopWatch()
 		cn.close()
-		cn.head.release()
+		cn.answers.Release()
 		if c.opts.Broken != nil && ctx.Err() == nil {
 			c.opts.Broken(addr)
 		}
--- a/internal/target/http1/client_test.go
+++ b/internal/target/http1/client_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/internal/clock"
+	"github.com/hickoryridge/hickoryridge/internal/net/answer"
 )
 
 // target is a fake target that responds to each request with the next of its scripts.
@@ -361,7 +362,7 @@
 			tg := newTarget(t, func(c net.Conn, _ *http.Request) bool {
 				n, _ := io.WriteString(c, test.begin)
 				chunk := strings.Repeat(test.again, 1024)
-				for n < 64*maxHeadBytes {
+				for n < 64*int(answer.MaxHeadBytes) {
 					m, err := io.WriteString(c, chunk)
 					n += m
 					if err != nil {
@@ -378,7 +379,7 @@
 			if _, err := c.Do(ctx, tg.addr, newRequest("a")); err == nil || ctx.Err() != nil {
 				t.Errorf("response head was accepted, or read until the deadline: %v", err)
 			}
-			if n := <-sent; n >= 64*maxHeadBytes {
+			if n := <-sent; n >= 64*int(answer.MaxHeadBytes) {
 				t.Errorf("client read %d bytes", n)
 			}
 		})
--- a/internal/target/http1/exchange.go
+++ b/internal/target/http1/exchange.go
@@ -9,8 +9,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/hickoryridge/hickoryridge/internal/net/answer"
 )
 
 const (
@@ -75,27 +73,20 @@
 // read returns the response to the request. Interim responses, and responses to other
 // requests, are skipped.
 func (x *exchange) read() (*http.Response, error) {
-	x.conn.head.expect()
-	defer func() { x.conn.head.limited = false }()
 	for range maxUnmatched {
-		resp, err := http.ReadResponse(x.conn.r, &http.Request{Method: x.request.Method})
+		resp, err := x.conn.answers.Next(x.request.Method)
 		if err != nil {
 			return nil, err
 		}
-		if err := answer.Check(resp); err != nil {
-			return nil, err
-		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		if x.request.Matches == nil || x.request.Matches(resp.Header, !x.conn.used) {
 			return resp, nil
 		}
-		x.conn.head.limited = false
 		if err := discard(resp); err != nil {
 			return nil, err
 		}
-		x.conn.head.expect()
 	}
 	return nil, errUnmatched
 }
@@ -125,8 +116,8 @@
 // connection can be reused, and closes it otherwise. It always returns nil.
 func (r *Response) Close() error {
 	x := r.exchange
-	x.conn.head.release()
-	if !x.stopWatch() || !r.atEOF || !r.Framed || !x.requestWritten() || r.closes || x.conn.r.Buffered() > 0 {
+	x.conn.answers.Release()
+	if !x.stopWatch() || !r.atEOF || !r.Framed || !x.requestWritten() || r.closes || x.conn.answers.Buffered() {
 		x.conn.close()
 		return nil
 	}
