plain: answers of plain services are read as those of targets

What callers saw, on the project's own interface: a service that reset the connection during a long upload gave them part of its answer as a whole one; a status of 000 closed their connection without an answer; a head with a blank in or around a name was passed on, with what came behind it as the body. A whole answer that came before a long request had been read was lost if the request may run at most once.

Cause: plain read answers by itself, one way for requests that may be repeated (net/http's transport, which writes beside reading and accepts the same heads) and another for the rest (the request is written to its end before anything is read).

Handled already: not HTTP, control bytes, heads and bodies cut short, reset after the request.

Change: both ways use http1.Client, with a connection for each request as before; Request.BeforeSend is the last check before the first byte. plain loses its own writer and reader and needs no Close. The User-Agent of net/http is no longer added.

--- a/dispatch/plain_test.go
+++ b/dispatch/plain_test.go
@@ -21,7 +21,6 @@
 	t.Cleanup(server.Close)
 	d := newFactsDispatcher(t, &scriptedBackend{crashed: crashed}, "")
 	d.cfg.Plain = plain.NewClient(nil)
-	t.Cleanup(d.cfg.Plain.Close)
 	a := d.cfg.Targets.Records()[0].Announcement
 	a.Sequence++
 	a.Address = strings.TrimPrefix(server.URL, "http://")
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -376,7 +376,6 @@
 	}).Info("started")
 	err := g.Wait()
 	in.engines.Close()
-	in.plain.Close()
 	in.targetClient.Close()
 	in.directClient.Close()
 	_ = in.metrics.Close() // the process ends, so unflushed counts are lost anyway
--- a/internal/target/http1/client.go
+++ b/internal/target/http1/client.go
@@ -46,7 +46,7 @@
 	IdleTimeout time.Duration
 	// Heads bounds the memory for the heads of all responses. It may be nil.
 	Heads *budget.Budget
-	// MaxIdlePerTarget is the number of idle connections that are kept per target.
+	// MaxIdlePerTarget is the number of idle connections that are kept per target; none if it is negative.
 	MaxIdlePerTarget int
 }
 
@@ -81,6 +81,8 @@
 	Matches func(h http.Header, first bool) bool
 	// Calls records the calls of the request that this one belongs to; nil if it is the only one.
 	Calls *Calls
+	// BeforeSend is called immediately before the first byte is sent. If it returns an error, nothing is sent. It may be nil.
+	BeforeSend func() error
 }
 
 // Calls records the connections that have carried calls of one request. The zero value is ready to use.
@@ -95,6 +97,14 @@
 	return r.Calls == nil || !slices.Contains(r.Calls.conns, cn.id)
 }
 
+// maySend returns an error if r must not be sent any more.
+func (r *Request) maySend(ctx context.Context) error {
+	if err := ctx.Err(); err != nil || r.BeforeSend == nil {
+		return err
+	}
+	return r.BeforeSend()
+}
+
 // uses records that r goes on a connection.
 func (r *Request) uses(cn *conn) {
 	if r.Calls != nil {
@@ -290,7 +300,7 @@
 	if err != nil {
 		return nil, &NotSentError{err}
 	}
-	if err := ctx.Err(); err != nil {
+	if err := r.maySend(ctx); err != nil {
 		c.putIdle(cn, c.opts.IdleTimeout)
 		return nil, &NotSentError{err}
 	}
--- a/plain/forward.go
+++ b/plain/forward.go
@@ -2,22 +2,21 @@
 // hop-by-hop headers.
 //
 // Each request uses a connection of its own. A response names no request, so on a connection that is used
-// again, one that the service writes once more cannot be told from the response to the next request. Besides,
-// the standard transport silently repeats some requests on reused connections, including every request with an
-// Idempotency-Key, and only a separate connection shows whether a byte was sent.
+// again, one that the service writes once more cannot be told from the response to the next request.
 package plain
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"net"
+	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/internal/host/budget"
+	"github.com/hickoryridge/hickoryridge/internal/net/tcp"
+	"github.com/hickoryridge/hickoryridge/internal/target/http1"
 )
 
 // Bounds of the protocol.
@@ -25,6 +24,8 @@
 	dialTimeout = 2 * time.Second
 	// MaxResponseBytes is the maximum length of a response body.
 	MaxResponseBytes = 32 << 20
+	// noIdleConnections keeps no connection for another request.
+	noIdleConnections = -1
 )
 
 // Request is a request to forward.
@@ -69,95 +70,80 @@
 
 // Client forwards requests to plain services. It is safe for concurrent use.
 type Client struct {
-	http   *http.Client
+	http   *http1.Client
 	memory *budget.Budget
 }
 
 // NewClient returns a client. What it reads of responses draws on memory, which may be nil.
 func NewClient(memory *budget.Budget) *Client {
-	d := &net.Dialer{Timeout: dialTimeout}
-	return &Client{memory: memory, http: &http.Client{
-		Transport:     &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	return &Client{memory: memory, http: http1.New(http1.Options{
+		Connection: tcp.Options{DialTimeout: dialTimeout}, Heads: memory, MaxIdlePerTarget: noIdleConnections,
+	})}
 }
 
-// Close closes connections that were opened and not used.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
-
-func newRequest(ctx context.Context, addr string, r Request) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+addr+r.Path, bytes.NewReader(r.Body))
+// newRequest returns a request to a service as it is sent.
+func newRequest(addr string, r Request) (*http1.Request, error) {
+	checked, err := http.NewRequest(r.Method, "http://"+addr+r.Path, nil)
 	if err != nil {
 		return nil, fault.New(fault.BadRequest, "%v", err)
 	}
-	req.Header = StripHopByHop(r.Header)
-	return req, nil
+	header := StripHopByHop(r.Header)
+	header.Set("Connection", "close")
+	return &http1.Request{Method: checked.Method, URI: checked.URL.RequestURI(), Host: checked.Host, Header: header, Body: r.Body}, nil
 }
 
 // SendIdempotent sends a request that may be repeated.
 func (c *Client) SendIdempotent(ctx context.Context, addr string, r Request) (*Response, error) {
-	req, err := newRequest(ctx, addr, r)
+	req, err := newRequest(addr, r)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.http.Do(req)
+	answer, err := c.send(ctx, addr, req)
 	if err != nil {
 		return nil, fault.New(fault.TargetFailed, "target %s: %v", addr, err)
 	}
-	return c.readAnswer(addr, resp)
+	return answer, nil
 }
 
-func (c *Client) readAnswer(addr string, resp *http.Response) (*Response, error) {
-	defer func() { _ = resp.Body.Close() }() // the body was read to its end or abandoned
+// send sends a request and reads its whole response.
+func (c *Client) send(ctx context.Context, addr string, req *http1.Request) (*Response, error) {
+	resp, err := c.http.Do(ctx, addr, req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Close() }() // never fails
 	account := c.memory.Account(addr, budget.MinBuffer)
 	defer account.Release()
-	body, err := budget.ReadAll(resp.Body, MaxResponseBytes, &account)
+	body, err := budget.ReadAll(resp, MaxResponseBytes, &account)
 	if err != nil {
-		return nil, fault.New(fault.TargetFailed, "target %s: response abandoned after %d bytes: %v", addr, len(body), err)
+		return nil, fmt.Errorf("response abandoned after %d bytes: %w", len(body), err)
 	}
-	return &Response{Status: resp.StatusCode, Header: StripHopByHop(resp.Header), Body: body}, nil
+	return &Response{Status: resp.Status, Header: StripHopByHop(resp.Header), Body: body}, nil
 }
 
 // SendOnce sends a request that may run at most once. It calls beforeSend immediately before the
 // first byte and sends nothing if that returns an error. For an error, fault.ResponseOf
 // reports whether the request ran: fault.RanNo only if no byte was sent.
 func (c *Client) SendOnce(ctx context.Context, addr string, r Request, beforeSend func() error) (*Response, error) {
-	req, err := newRequest(ctx, addr, r)
+	req, err := newRequest(addr, r)
 	if err != nil {
 		return nil, fault.WithRan(err, fault.RanNo)
 	}
-	req.Close = true
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, fault.WithRan(fault.New(fault.NoTarget, "target %s: %v", addr, err), fault.RanNo)
+	var withheld error
+	req.BeforeSend = func() error {
+		withheld = beforeSend()
+		return withheld
 	}
-	defer func() { _ = conn.Close() }() // only the response matters
-	// The end of ctx aborts pending reads and writes.
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-
-	var wire bytes.Buffer
-	if err := req.Write(&wire); err != nil {
-		return nil, fault.WithRan(fault.Wrap(fault.BadRequest, err), fault.RanNo)
-	}
-	if err := beforeSend(); err != nil {
-		return nil, fault.WithRan(err, fault.RanNo)
-	}
-	if _, err := conn.Write(wire.Bytes()); err != nil {
-		return nil, unknownOutcome(addr, err)
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
-	if err != nil {
-		return nil, unknownOutcome(addr, err)
-	}
-	answer, err := c.readAnswer(addr, resp)
-	if err != nil {
-		return nil, unknownOutcome(addr, err)
+	answer, err := c.send(ctx, addr, req)
+	var notSent *http1.NotSentError
+	switch {
+	case err == nil:
+		return answer, nil
+	case withheld != nil:
+		return nil, fault.WithRan(withheld, fault.RanNo)
+	case errors.As(err, &notSent):
+		return nil, fault.WithRan(fault.New(fault.NoTarget, "target %s: %v", addr, err), fault.RanNo)
+	default:
+		return nil, fault.WithRan(fault.New(fault.OutcomeUnknown, "target %s: %v", addr, err), fault.RanUnknown)
 	}
-	return answer, nil
-}
-
-func unknownOutcome(addr string, err error) error {
-	return fault.WithRan(fault.New(fault.OutcomeUnknown, "target %s: %v", addr, err), fault.RanUnknown)
 }
--- a/plain/forward_test.go
+++ b/plain/forward_test.go
@@ -26,7 +26,6 @@
 		}
 	}()
 	c := NewClient(nil)
-	defer c.Close()
 	for _, path := range []string{"/first", "/second"} {
 		resp, err := c.SendIdempotent(t.Context(), l.Addr().String(), Request{Method: http.MethodGet, Path: path})
 		if err != nil {
