dispatch: a plain service that breaks off a request which may run once counts as broken

What callers saw, on the project's own interface: after a service had given no answer, or a broken one, to a request that may run at most once, the next ones went to it as to a sound one.

Cause: trySendOnce marks a target only if no connection could be opened; trySendIdempotent marks it after any failure.

Evidence: TestPlainTargetCountsAsBroken/runs_at_most_once, "0 targets count as failed, want 1"; its other case passed. A request whose own time ended shows nothing about its target and marks none, as before.

--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -119,7 +119,7 @@
 	d.recordSent(assigned)
 	answer, err := d.cfg.Plain.SendOnce(ctx, assigned.Address, p.Request, beforeSend)
 	d.recordPlain(ctx, assigned, p, answer, err)
-	if fault.Is(err, fault.NoTarget) {
+	if fault.Is(err, fault.NoTarget) || fault.Is(err, fault.OutcomeUnknown) && ctx.Err() == nil {
 		assigned.MarkFailed()
 	}
 	return answer, assigned.Choice.ID, err
--- a/dispatch/plain_test.go
+++ b/dispatch/plain_test.go
@@ -93,3 +93,21 @@
 		t.Errorf("error %v, ran %s, want an unknown outcome", err, fault.ResponseOf(err).Ran)
 	}
 }
+
+// TestPlainTargetCountsAsBroken guards against a plain service that gives broken answers and is chosen like a sound one, whatever
+// may be done with the request.
+func TestPlainTargetCountsAsBroken(t *testing.T) {
+	for name, method := range map[string]string{"may be repeated": http.MethodGet, "runs at most once": http.MethodPost} {
+		t.Run(name, func(t *testing.T) {
+			d := newPlainDispatcher(t, false, func(http.ResponseWriter, *http.Request) {
+				panic(http.ErrAbortHandler) // no response
+			})
+			if _, err := d.Plain(t.Context(), newPlainRequest(method, "/x")); err == nil {
+				t.Fatal("an answer")
+			}
+			if n := len(d.cfg.Targets.suspects); n != 1 {
+				t.Errorf("%d targets count as failed, want 1", n)
+			}
+		})
+	}
+}
