fenced: a call counts as accepted only by a final answer of HTTP/1.1

What the platform and engines saw: a call that is the duty of one instance (a report of usage, an order of replicas) counted as accepted, and was not sent again, where the receiver answered with the status 000, or with an interim answer (100, 102) whatever the final one said. An order to an engine with a blank in its answer's head counted as carried out, and one with an interim answer as failed.

Cause: fenced took the first head that http.ReadResponse reads, and platform.Provider every status below 300 for accepted.

Handled already: not HTTP, control bytes, a head cut short, an endless one.

Change: fenced uses answer.Reader, whose Final skips interim answers, up to 4; http1 uses it too.

--- a/internal/net/answer/reader.go
+++ b/internal/net/answer/reader.go
@@ -12,6 +12,8 @@
 
 const (
 	readBufferBytes = 4 << 10
+	// maxInterim limits the interim answers before a final one.
+	maxInterim = 4
 	// MaxHeadBytes limits the memory for the heads before a body, because a faulty target may send headers without end.
 	MaxHeadBytes ident.Bytes = 256 << 10
 	// freeHeadBytes is the memory for a head that draws on no budget.
@@ -23,6 +25,8 @@
 	errHeadTooLarge = errors.New("response head exceeds 256 KiB of memory")
 	// errHeads reports that all response heads together exceed the budget.
 	errHeads = errors.New("response heads exceed their budget")
+	// errInterim reports more than maxInterim interim answers.
+	errInterim = errors.New("received only interim responses")
 	// errFolded reports a line of a head that begins with white space: a name with a blank before it, or the rest of the value
 	// before it in an obsolete notation. net/http appends it to that value.
 	errFolded = errors.New("a line of the response head begins with white space")
@@ -59,6 +63,17 @@
 	return resp, nil
 }
 
+// Final is like Next and skips interim answers, with a status below 200.
+func (r *Reader) Final(method string) (*http.Response, error) {
+	for range maxInterim + 1 {
+		resp, err := r.Next(method)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+	return nil, errInterim
+}
+
 // Buffered reports whether bytes have been read from the source that belong to no answer yet.
 func (r *Reader) Buffered() bool { return r.buf.Buffered() > 0 || r.head.buffered() }
 
--- a/internal/net/fenced/fenced.go
+++ b/internal/net/fenced/fenced.go
@@ -7,7 +7,6 @@
 package fenced
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -16,6 +15,7 @@
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/internal/net/answer"
 )
 
 const (
@@ -39,12 +39,12 @@
 	if err != nil {
 		return nil, fault.WithRan(fault.New(fault.TargetFailed, "%s: %v", addr, err), fault.RanNo)
 	}
-	answer, err := send(ctx, c, request, authority)
+	a, err := send(ctx, c, request, authority)
 	if tcp, ok := c.(*net.TCPConn); ok && err != nil {
 		_ = tcp.SetLinger(0) // closing resets the connection; it is closed in any case
 	}
 	_ = c.Close() // only the answer matters
-	return answer, err
+	return a, err
 }
 
 func send(ctx context.Context, c net.Conn, request []byte, authority func() bool) (*Answer, error) {
@@ -64,11 +64,10 @@
 	if _, err := c.Write(request[last:]); err != nil {
 		return nil, fault.New(fault.TargetFailed, "%s: %v", c.RemoteAddr(), err)
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	resp, err := answer.NewReader(c, nil, "").Final(http.MethodPost)
 	if err != nil {
 		return nil, fault.New(fault.TargetFailed, "%s: no answer: %v", c.RemoteAddr(), err)
 	}
-	defer func() { _ = resp.Body.Close() }()                  // only the status matters
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxText)) // as above
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxText)) // only the status matters
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, Text: bytes.TrimSpace(text)}, nil
 }
--- a/internal/target/http1/exchange.go
+++ b/internal/target/http1/exchange.go
@@ -16,8 +16,8 @@
 	// read. A larger one is written concurrently, because a target may respond before it
 	// has read the whole request.
 	maxInlineBytes = 8 << 10
-	// maxUnmatched limits the responses read per request, including interim responses and
-	// those to other requests, which are skipped.
+	// maxUnmatched limits the responses read per request, including those to other requests, which are
+	// skipped.
 	maxUnmatched = 4
 	// maxUnmatchedBytes limits the body of a skipped response.
 	maxUnmatchedBytes = 1 << 20
@@ -74,13 +74,10 @@
 // requests, are skipped.
 func (x *exchange) read() (*http.Response, error) {
 	for range maxUnmatched {
-		resp, err := x.conn.answers.Next(x.request.Method)
+		resp, err := x.conn.answers.Final(x.request.Method)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		if x.request.Matches == nil || x.request.Matches(resp.Header, !x.conn.used) {
 			return resp, nil
 		}
