fenced: an answer whose body is cut is not whole

What the platform and engines saw: a call counted as accepted, and an order as carried out, where the receiver broke off its answer in the body, by closing before its length or with a reset.

Cause: the error of reading the body was dropped, as only the status matters.

Evidence, on the code before: body_cut_short and body_reset of TestBrokenAnswers returned status 200 and "part".

Change: the body is read to its end, up to 1 MiB, and an error leaves the outcome unknown: the connection is reset and the call is sent again as after any other broken answer.

--- a/internal/net/fenced/fenced.go
+++ b/internal/net/fenced/fenced.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -22,8 +23,12 @@
 	dialTimeout = 2 * time.Second
 	// maxText is the number of bytes of an answer's body that are kept.
 	maxText = 512
+	// maxBody bounds the rest of an answer's body, which is read to see whether it is whole.
+	maxBody = 1 << 20 // bytes
 )
 
+var errBodyTooLarge = errors.New("body exceeds 1 MiB")
+
 // Answer is the answer to a request.
 type Answer struct {
 	Status int
@@ -68,6 +73,22 @@
 	if err != nil {
 		return nil, fault.New(fault.TargetFailed, "%s: no answer: %v", c.RemoteAddr(), err)
 	}
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxText)) // only the status matters
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Text: bytes.TrimSpace(text)}, nil
+	text, err := readText(resp.Body)
+	if err != nil {
+		return nil, fault.New(fault.TargetFailed, "%s: the answer with status %d is not whole: %v", c.RemoteAddr(), resp.StatusCode, err)
+	}
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Text: text}, nil
+}
+
+// readText reads a body to its end and returns its beginning.
+func readText(body io.Reader) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, maxText))
+	if err != nil {
+		return nil, err
+	}
+	rest, err := io.Copy(io.Discard, io.LimitReader(body, maxBody))
+	if err == nil && rest == maxBody {
+		err = errBodyTooLarge
+	}
+	return bytes.TrimSpace(text), err
 }
