seed, hickoryctl: answers of instances are read as those of targets

What operators and instances saw: hickoryctl printed success for a change whose answer had the status 000, a head with a blank in or around a name, or was reset during a long upload; an instance took a voter's description from such heads, and from a body that ended before its length.

Cause: both read answers by net/http's client, and decoded the first JSON value of what came.

Handled already: not HTTP, only interim answers, control bytes, heads and bodies cut short or reset; the status 000 of a seed.

Change: both use http1.Client with Options.OneRequest, which plain and engine use now too: a connection for each request, announced as such. answer.DecodeJSON reads a body to its end before it decodes it; the engine client uses it too.

--- a/cmd/hickoryctl/client.go
+++ b/cmd/hickoryctl/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -9,7 +10,9 @@
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/internal/cli"
+	"github.com/hickoryridge/hickoryridge/internal/net/tcp"
 	"github.com/hickoryridge/hickoryridge/internal/reply"
+	"github.com/hickoryridge/hickoryridge/internal/target/http1"
 )
 
 // callTimeout bounds one API call. Adding a voter is the slowest call.
@@ -49,17 +52,16 @@
 
 // raw sends a request and returns the status and body of the response.
 func (c *client) raw(method, path string, body []byte) (int, []byte, error) {
-	req, err := http.NewRequest(method, "http://"+c.control+path, bytes.NewReader(body))
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	caller := http1.New(http1.Options{Connection: tcp.Options{DialTimeout: callTimeout}, OneRequest: true})
+	resp, err := caller.Do(ctx, c.control, &http1.Request{Method: method, URI: path, Host: c.control, Header: http.Header{}, Body: body})
 	if err != nil {
 		return 0, nil, err
 	}
-	resp, err := (&http.Client{Timeout: callTimeout}).Do(req)
-	if err != nil {
-		return 0, nil, err
-	}
-	defer func() { _ = resp.Body.Close() }() // the body has been read
-	data, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, data, err
+	defer func() { _ = resp.Close() }() // never fails
+	data, err := io.ReadAll(resp)
+	return resp.Status, data, err
 }
 
 // printFailure prints an error response, as received if JSON output is selected.
--- a/engine/client.go
+++ b/engine/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/fault"
+	"github.com/hickoryridge/hickoryridge/internal/net/answer"
 	"github.com/hickoryridge/hickoryridge/internal/net/tcp"
 	"github.com/hickoryridge/hickoryridge/internal/target/http1"
 )
@@ -20,8 +21,6 @@
 	maxEventBytes = 1 << 20 // one server-sent event
 	maxReplyBytes = 4 << 20 // one reply that is not streamed
 	dialTimeout   = 2 * time.Second
-	// noIdleConnections keeps no connection for another request.
-	noIdleConnections = -1
 )
 
 // Paths of the engine's HTTP interface.
@@ -45,14 +44,13 @@
 // NewClient returns a client that aborts a stream if no complete line arrives for the time idle.
 func NewClient(idle time.Duration) *Client {
 	return &Client{idleTimeout: idle, http: http1.New(http1.Options{
-		Connection: tcp.Options{DialTimeout: dialTimeout}, MaxIdlePerTarget: noIdleConnections,
+		Connection: tcp.Options{DialTimeout: dialTimeout}, OneRequest: true,
 	})}
 }
 
 // do sends a request. Its error is of kind fault.TargetFailed. The response must be closed, which ends the engine's work.
 func (c *Client) do(ctx context.Context, addr string, r *http1.Request) (*http1.Response, error) {
 	r.Host = addr
-	r.Header.Set("Connection", "close")
 	resp, err := c.http.Do(ctx, addr, r)
 	if err != nil {
 		return nil, fault.New(fault.TargetFailed, "engine %s: %v", addr, err)
@@ -95,7 +93,7 @@
 	}
 	defer func() { _ = resp.Close() }() // never fails
 	var done Completion
-	if err := json.NewDecoder(io.LimitReader(resp, maxReplyBytes)).Decode(&done); err != nil {
+	if err := answer.DecodeJSON(resp, maxReplyBytes, &done); err != nil {
 		return nil, fault.New(fault.TargetFailed, "engine %s: %v", addr, err)
 	}
 	if done.ID != string(call.Attempt) || done.Transfer == nil || done.Transfer.Handover == nil {
--- a/engine/order.go
+++ b/engine/order.go
@@ -4,13 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/desired"
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/net/answer"
 	"github.com/hickoryridge/hickoryridge/internal/net/fenced"
 	"github.com/hickoryridge/hickoryridge/internal/target/http1"
 	"github.com/hickoryridge/hickoryridge/state"
@@ -77,11 +77,11 @@
 func SendOrderBytes(ctx context.Context, addr string, request []byte, authority Authority) (status int, text []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, OrderSendTimeout)
 	defer cancel()
-	answer, err := fenced.Send(ctx, addr, request, authority)
+	a, err := fenced.Send(ctx, addr, request, authority)
 	if err != nil {
 		return 0, nil, err
 	}
-	return answer.Status, answer.Text, nil
+	return a.Status, a.Text, nil
 }
 
 // State requests the state of an engine.
@@ -95,7 +95,7 @@
 	if resp.Status != http.StatusOK {
 		return s, fault.New(fault.TargetFailed, "engine %s: status %d", addr, resp.Status)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp, maxReplyBytes)).Decode(&s); err != nil {
+	if err := answer.DecodeJSON(resp, maxReplyBytes, &s); err != nil {
 		return s, fault.New(fault.TargetFailed, "engine %s: %v", addr, err)
 	}
 	return s, nil
--- a/internal/cluster/seed/seed.go
+++ b/internal/cluster/seed/seed.go
@@ -9,8 +9,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -18,7 +16,10 @@
 
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/net/answer"
+	"github.com/hickoryridge/hickoryridge/internal/net/tcp"
 	"github.com/hickoryridge/hickoryridge/internal/reply"
+	"github.com/hickoryridge/hickoryridge/internal/target/http1"
 )
 
 // Path is the HTTP path at which an instance describes itself.
@@ -51,33 +52,31 @@
 
 // Client queries seeds. It is safe for concurrent use.
 type Client struct {
-	http http.Client
+	http *http1.Client
 }
 
 // NewClient returns a client. It does not keep connections open.
 func NewClient() *Client {
-	return &Client{http: http.Client{Timeout: queryTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &Client{http1.New(http1.Options{Connection: tcp.Options{DialTimeout: queryTimeout}, OneRequest: true})}
 }
 
 // Query returns the description of the instance at a control address. The error is a NotFound fault
 // if the instance cannot be reached and a FrameInvalid fault if its reply is not a valid
 // description.
 func (c *Client) Query(ctx context.Context, addr string) (Info, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+Path, nil)
-	if err != nil {
-		return Info{}, fault.New(fault.BadRequest, "seed %s: invalid address: %v", addr, err)
-	}
-	resp, err := c.http.Do(req)
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	resp, err := c.http.Do(ctx, addr, &http1.Request{Method: http.MethodGet, URI: Path, Host: addr, Header: http.Header{}})
 	if err != nil {
 		return Info{}, fault.New(fault.NotFound, "querying seed %s: %v", addr, err)
 	}
-	defer func() { _ = resp.Body.Close() }() // read to its end or abandoned
+	defer func() { _ = resp.Close() }() // never fails
 	var info Info
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReply)).Decode(&info); err != nil {
+	if err := answer.DecodeJSON(resp, maxReply, &info); err != nil {
 		return Info{}, fault.New(fault.FrameInvalid, "decoding the reply of seed %s: %v", addr, err)
 	}
-	if resp.StatusCode != http.StatusOK || info.ID == "" || info.Address == "" {
-		return Info{}, fault.New(fault.FrameInvalid, "seed %s: reply with status %d lacks the instance ID or address", addr, resp.StatusCode)
+	if resp.Status != http.StatusOK || info.ID == "" || info.Address == "" {
+		return Info{}, fault.New(fault.FrameInvalid, "seed %s: reply with status %d lacks the instance ID or address", addr, resp.Status)
 	}
 	return info, nil
 }
--- a/internal/net/answer/answer.go
+++ b/internal/net/answer/answer.go
@@ -6,7 +6,9 @@
 package answer
 
 import (
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 )
@@ -30,3 +32,15 @@
 	}
 	return nil
 }
+
+// DecodeJSON decodes a body of up to limit bytes into v. A body that is cut is an error, whatever came of it.
+func DecodeJSON(body io.Reader, limit int64, v any) error {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(data)) > limit {
+		return fmt.Errorf("body exceeds %d bytes", limit)
+	}
+	return json.Unmarshal(data, v)
+}
--- a/internal/target/http1/client.go
+++ b/internal/target/http1/client.go
@@ -46,8 +46,10 @@
 	IdleTimeout time.Duration
 	// Heads bounds the memory for the heads of all responses. It may be nil.
 	Heads *budget.Budget
-	// MaxIdlePerTarget is the number of idle connections that are kept per target; none if it is negative.
+	// MaxIdlePerTarget is the number of idle connections that are kept per target.
 	MaxIdlePerTarget int
+	// OneRequest makes each request use a connection of its own, and say so. No connection is kept.
+	OneRequest bool
 }
 
 // ConnectionOptions are the timeouts of connections to targets.
@@ -153,7 +155,10 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = defaults.IdleTimeout
 	}
-	if o.MaxIdlePerTarget == 0 {
+	switch {
+	case o.OneRequest:
+		o.MaxIdlePerTarget = 0
+	case o.MaxIdlePerTarget == 0:
 		o.MaxIdlePerTarget = defaults.MaxIdlePerTarget
 	}
 	return &Client{opts: o, idle: map[string][]*conn{}}
--- a/internal/target/http1/exchange.go
+++ b/internal/target/http1/exchange.go
@@ -50,7 +50,7 @@
 }
 
 func (x *exchange) run() (*Response, error) {
-	wire := encode(x.request)
+	wire := encode(x.request, x.client.opts.OneRequest)
 	if len(wire) <= maxInlineBytes {
 		if _, err := x.conn.net.Write(wire); err != nil {
 			return nil, err
@@ -148,12 +148,15 @@
 	return r.exchange.client.opts.IdleTimeout
 }
 
-// encode returns the wire format of a request.
-func encode(r *Request) []byte {
+// encode returns the wire format of a request, which may be the last one on its connection.
+func encode(r *Request, last bool) []byte {
 	var b bytes.Buffer
 	b.Grow(len(r.Body) + 512)
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
 	_ = r.Header.Write(&b) // a bytes.Buffer returns no error
+	if last {
+		b.WriteString("Connection: close\r\n")
+	}
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
 	}
--- a/plain/forward.go
+++ b/plain/forward.go
@@ -24,8 +24,6 @@
 	dialTimeout = 2 * time.Second
 	// MaxResponseBytes is the maximum length of a response body.
 	MaxResponseBytes = 32 << 20
-	// noIdleConnections keeps no connection for another request.
-	noIdleConnections = -1
 )
 
 // Request is a request to forward.
@@ -77,7 +75,7 @@
 // NewClient returns a client. What it reads of responses draws on memory, which may be nil.
 func NewClient(memory *budget.Budget) *Client {
 	return &Client{memory: memory, http: http1.New(http1.Options{
-		Connection: tcp.Options{DialTimeout: dialTimeout}, Heads: memory, MaxIdlePerTarget: noIdleConnections,
+		Connection: tcp.Options{DialTimeout: dialTimeout}, Heads: memory, OneRequest: true,
 	})}
 }
 
@@ -87,9 +85,7 @@
 	if err != nil {
 		return nil, fault.New(fault.BadRequest, "%v", err)
 	}
-	header := StripHopByHop(r.Header)
-	header.Set("Connection", "close")
-	return &http1.Request{Method: checked.Method, URI: checked.URL.RequestURI(), Host: checked.Host, Header: header, Body: r.Body}, nil
+	return &http1.Request{Method: checked.Method, URI: checked.URL.RequestURI(), Host: checked.Host, Header: StripHopByHop(r.Header), Body: r.Body}, nil
 }
 
 // SendIdempotent sends a request that may be repeated.
