platform: a reply about a prompt counts only if it is whole

What was seen: KV cache was used, and its engine counted as sound, where the engine broke off its reply to a prompt that is processed apart behind the JSON value; after a reply that was cut within it, or named no cache, the prompt went to another engine, but the first one still counted as sound.

Cause: the first JSON value was decoded and the rest of the body skipped without its error; a reply that could not be decoded was treated like a refusal.

--- a/dispatch/backend.go
+++ b/dispatch/backend.go
@@ -106,11 +106,12 @@
 	Full                            // the target rejected the request
 	AddressReassigned               // another target now has the address
 	KVCacheGone                     // the KV cache to use no longer exists
+	ReplyBroken                     // the prompt was only processed, and the reply to that was broken
 )
 
 // String returns the reason as it appears in logs.
 func (r Reason) String() string {
-	return [...]string{"unreachable", "full", "elsewhere", "copy_gone"}[r]
+	return [...]string{"unreachable", "full", "elsewhere", "copy_gone", "reply_broken"}[r]
 }
 
 // Backend sends requests to targets in their protocol. It never retries on its own. Implementations
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -468,10 +468,13 @@
 		r.cacheLost = true
 		r.unreached++
 		return r.unreached < maxUnreachedTargets, err
-	default:
-		r.attemptsSent++
-		return r.attemptsSent < r.req.Rule.MaxAttempts(), err
+	case ReplyBroken:
+		if ctx.Err() == nil {
+			r.countBroken(a)
+		}
 	}
+	r.attemptsSent++
+	return r.attemptsSent < r.req.Rule.MaxAttempts(), err
 }
 
 // recordUnreachable records that no connection to a target could be opened. An instance that may be cut off
--- a/dispatch/forward_test.go
+++ b/dispatch/forward_test.go
@@ -30,9 +30,11 @@
 	outcomes []Outcome
 	calls    []Call
 	prefills int
-	released []string
-	block    bool // calls block until their context ends
-	crashed  bool // targets accept no connections
+	// prefillFails is what becomes of the first prompt that is processed apart, unless it is nil.
+	prefillFails Outcome
+	released     []string
+	block        bool // calls block until their context ends
+	crashed      bool // targets accept no connections
 	// endsWithContext is a body that fails when the context of a call ends, as those of connections do.
 	endsWithContext *io.PipeReader
 }
@@ -56,6 +58,9 @@
 
 func (s *scriptedBackend) Prefill(_ context.Context, c Call) (*KVCacheRef, Outcome) {
 	s.prefills++
+	if s.prefills == 1 && s.prefillFails != nil {
+		return nil, s.prefillFails
+	}
 	return &KVCacheRef{Address: c.Address, Handle: fmt.Sprint("h", s.prefills)}, Answered{Status: http.StatusOK}
 }
 
@@ -292,6 +297,28 @@
 	}
 }
 
+// TestSplitReplyBroken guards against a target that counts as sound, or a request that fails, though the reply about its prompt was
+// broken: the request has not run, so another engine processes the prompt.
+func TestSplitReplyBroken(t *testing.T) {
+	for name, test := range map[string]struct {
+		reason Reason
+		failed int // targets that count as failed
+	}{"broken": {ReplyBroken, 1}, "full": {Full, 0}} {
+		t.Run(name, func(t *testing.T) {
+			b := &scriptedBackend{outcomes: []Outcome{answer(http.StatusOK, "id: 1\n\n", nil)}, prefillFails: NotRun{Reason: test.reason, Err: errors.New("cut")}}
+			d := newForwardDispatcher(t, b, desired.RolePrefill, desired.RolePrefill, desired.RoleMixed)
+			f := newForwardRequest(desired.ForwardRule{Stream: true, Retry: desired.RetryResume, Attempts: 2})
+			f.Parts = []router.Part{{ID: "a", Tokens: 9000}, {ID: "b", Tokens: 900}}
+			if err := d.Forward(t.Context(), f, &recordingSink{}); err != nil || b.prefills != 2 {
+				t.Errorf("%v, %d prompts processed apart, want 2", err, b.prefills)
+			}
+			if n := len(d.cfg.Targets.suspects); n != test.failed {
+				t.Errorf("%d targets count as failed, want %d", n, test.failed)
+			}
+		})
+	}
+}
+
 // TestSplitUnreachable guards against a prompt that is processed again, and not counted as a retry, each
 // time that the engine for the answer accepts no connection. The KV cache is still there.
 func TestSplitUnreachable(t *testing.T) {
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -86,13 +86,18 @@
 	return ids
 }
 
-// recordBroken records that the target gave no complete answer, although the caller was still there.
-// head is set if the head of the answer arrived.
-func (r *forwardRun) recordBroken(ctx context.Context, a *Assignment, head bool, cause error) {
+// countBroken makes the target count as broken.
+func (r *forwardRun) countBroken(a *Assignment) {
 	if !r.d.linkDoubtful() {
 		a.ReportAnswer(true)
 	}
 	a.MarkFailed()
+}
+
+// recordBroken records that the target gave no complete answer, although the caller was still there.
+// head is set if the head of the answer arrived.
+func (r *forwardRun) recordBroken(ctx context.Context, a *Assignment, head bool, cause error) {
+	r.countBroken(a)
 	r.d.recordCrash(ctx, a, r.req.ID, r.parts, head)
 	r.d.cfg.Log.WithFields(logrus.Fields{
 		"event": "answer_broken", "request": r.req.ID, "digest": r.digest, "service": r.req.Service, "target": a.Choice.ID, "incarnation": a.incarnation,
