instance, quorum: a voter whose sync failed writes its files anew and comes back

What operators would see: the disks of voters are full for a few seconds each, one after another, and it is the sync that says so (as file systems do that find room late). Each such voter stayed stopped for good while its process ran; after the second of three there was no leader, and every change was refused to the end.

Cause: after quorum.ErrSync the voter waited for its end, as nobody knows what the files hold after a failed sync.

Ruled out: writes that are refused.

Change: the store has what was synced, and nothing else, in memory. What was not synced was acknowledged to nobody. A folder that belongs to another disk by then is left alone.

--- a/instance/voter.go
+++ b/instance/voter.go
@@ -28,8 +28,8 @@
 // replica leads.
 //
 // A replica whose disk fails stops, and the instance continues as an entry. The disk is reopened
-// until it accepts writes, unless a sync failed: after a failed sync the contents of the disk are
-// undefined, so the disk must be replaced.
+// until it accepts writes. After a failed sync, which a full disk may cause too, it is unknown what the files
+// hold, so they are written anew from what is in memory.
 type voter struct {
 	in      *Instance
 	machine *state.Machine
@@ -83,20 +83,15 @@
 	v.in.log.WithFields(logrus.Fields{"event": "voter_stopped", "cause": cause}).Error("the replica stopped; the instance continues without it")
 }
 
-// reopen tries to open the data directory until it succeeds or ctx ends. After a failed sync it only
-// waits for ctx.
+// reopen tries to make the data directory usable again until it succeeds or ctx ends.
 func (v *voter) reopen(ctx context.Context, cause error) error {
 	for {
-		wait := time.After(reopenInterval)
-		if errors.Is(cause, quorum.ErrSync) {
-			wait = nil // never reopen
-		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-wait:
+		case <-time.After(reopenInterval):
 		}
-		store, err := quorum.OpenStore(v.in.settings.Data)
+		store, err := v.reopenStore(cause)
 		if err != nil {
 			v.in.log.WithFields(logrus.Fields{"event": "voter_not_reopened", "cause": err}).Error("data directory cannot be opened; retrying")
 			continue
@@ -109,6 +104,15 @@
 	}
 }
 
+// reopenStore opens the data directory after a failed write, and writes it anew after a failed sync.
+func (v *voter) reopenStore(cause error) (*quorum.Store, error) {
+	if !errors.Is(cause, quorum.ErrSync) {
+		return quorum.OpenStore(v.in.settings.Data)
+	}
+	store := v.disk()
+	return store, store.Rewrite()
+}
+
 // stateName returns the state of a replica without a node, for operators.
 func (v *voter) stateName() string {
 	v.mu.Lock()
--- a/quorum/store.go
+++ b/quorum/store.go
@@ -190,9 +190,32 @@
 	return s.replaceSnapshot(meta, data, nil)
 }
 
-// replaceSnapshot replaces the snapshot file and then the log file. A crash between
-// the two leaves an old log, which loadLog trims to the snapshot.
+// Rewrite writes the snapshot and the log anew from memory, which holds what was synced and nothing else. After a failed sync
+// it is unknown what the files hold. It returns an error if the data directory does not belong to this disk any more.
+func (s *Store) Rewrite() error {
+	switch disk, err := s.readIdentity(); {
+	case err != nil:
+		return err
+	case disk != s.disk:
+		return fault.New(fault.Corrupt, "%s: belongs to disk %s, not to %s", s.dir, disk, s.disk)
+	}
+	return s.replaceFiles(s.stored.Meta, s.snapshot, s.stored.Entries)
+}
+
+// replaceSnapshot replaces the snapshot and the log in the data directory and in memory.
 func (s *Store) replaceSnapshot(meta SnapshotMeta, data []byte, tail []Entry) error {
+	if err := s.replaceFiles(meta, data, tail); err != nil {
+		return err
+	}
+	s.stored.Meta = meta
+	s.stored.Entries = tail
+	s.snapshot = data
+	return nil
+}
+
+// replaceFiles replaces the snapshot file and then the log file. A crash between
+// the two leaves an old log, which loadLog trims to the snapshot.
+func (s *Store) replaceFiles(meta SnapshotMeta, data []byte, tail []Entry) error {
 	payload, err := msgpack.Marshal(snapshotFile{Meta: meta, Data: data})
 	if err != nil {
 		return fault.Wrap(fault.Internal, err)
@@ -210,9 +233,6 @@
 	if err := s.replace(logName, buf.Bytes()); err != nil {
 		return err
 	}
-	s.stored.Meta = meta
-	s.stored.Entries = tail
-	s.snapshot = data
 	return s.openLog()
 }
 
@@ -259,19 +279,26 @@
 }
 
 func (s *Store) loadIdentity() error {
-	data, err := os.ReadFile(filepath.Join(s.dir, identityName))
+	disk, err := s.readIdentity()
 	if errors.Is(err, fs.ErrNotExist) {
 		return s.newIdentity()
 	}
+	s.disk = disk
+	return err
+}
+
+// readIdentity reads the identity file.
+func (s *Store) readIdentity() (ident.DiskID, error) {
+	path := filepath.Join(s.dir, identityName)
+	data, err := os.ReadFile(path)
 	if err != nil {
-		return fault.Wrap(fault.Internal, err)
+		return "", fault.Wrap(fault.Internal, err)
 	}
 	var id identity
 	if err := json.Unmarshal(data, &id); err != nil || id.Disk == "" {
-		return fault.New(fault.Corrupt, "%s: invalid disk identity", filepath.Join(s.dir, identityName))
+		return "", fault.New(fault.Corrupt, "%s: invalid disk identity", path)
 	}
-	s.disk = id.Disk
-	return nil
+	return id.Disk, nil
 }
 
 // newIdentity creates the disk identity of an empty data directory. It rejects a
--- a/quorum/store_test.go
+++ b/quorum/store_test.go
@@ -198,6 +198,74 @@
 	})
 }
 
+// TestRewrite checks that a store whose files hold anything, as they may after a failed sync, writes what was synced anew: at any point in
+// its life, and so that it can go on.
+func TestRewrite(t *testing.T) {
+	hard := HardState{Term: 7, Vote: "d2"}
+	steps := []func(s *Store) error{
+		func(s *Store) error { return s.Bootstrap(threeMembers()) },
+		func(s *Store) error { return s.Append([]Persist{{Hard: &hard, Entries: entriesFrom(2, 6, 7)}}) },
+		func(s *Store) error {
+			return s.Compact(SnapshotMeta{Index: 4, Term: 7, Members: threeMembers()}, []byte("state"))
+		},
+		func(s *Store) error { return s.Append([]Persist{{Entries: entriesFrom(8, 2, 7)}}) },
+		func(s *Store) error {
+			return s.InstallSnapshot(SnapshotMeta{Index: 20, Term: 7, Members: threeMembers()}, []byte("newer"))
+		},
+	}
+	for failAfter := range len(steps) + 1 {
+		dir := t.TempDir()
+		s := openStore(t, dir)
+		for n, step := range steps {
+			if n == failAfter {
+				rewriteSpoilt(t, s, dir)
+			}
+			if err := step(s); err != nil {
+				t.Fatalf("failure after %d steps, step %d: %v", failAfter, n, err)
+			}
+		}
+		if failAfter == len(steps) {
+			rewriteSpoilt(t, s, dir)
+		}
+		want := s.Stored()
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+		after := openStore(t, dir)
+		if got := after.Stored(); !reflect.DeepEqual(got, want) || string(after.SnapshotData()) != "newer" || want.Hard != hard {
+			t.Errorf("failure after %d steps: %+v and %q, want %+v", failAfter, got, after.SnapshotData(), want)
+		}
+		_ = after.Close() // nothing was written
+	}
+}
+
+// rewriteSpoilt spoils the files of a store and lets it write them anew, at the second attempt.
+func rewriteSpoilt(t *testing.T, s *Store, dir string) {
+	t.Helper()
+	want := s.Stored()
+	for _, name := range []string{logName, snapshotName} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte("anything"), filePerm); err != nil {
+			t.Fatal(err)
+		}
+	}
+	inTheWay := filepath.Join(dir, logName+tempSuffix)
+	if err := os.Mkdir(inTheWay, dirPerm); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Rewrite(); err == nil {
+		t.Fatal("written anew without room for the log")
+	}
+	if err := os.Remove(inTheWay); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Rewrite(); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.Stored(); !reflect.DeepEqual(got, want) {
+		t.Fatalf("%+v in memory, want %+v", got, want)
+	}
+}
+
 // TestFailedSyncIsMarked checks that the error of a failed sync can be distinguished
 // from that of a failed write. After a failed write the disk may be used again;
 // after a failed sync its contents are unknown.
