net/answer: another version than HTTP/1, or a transfer coding before 1.1, is no answer

What callers saw: an answer of HTTP/2.0 or 0.9 was passed on; one of HTTP/1.0 with a Transfer-Encoding came with the bytes of the coding as its body ("2\r\nok\r\n0\r\n\r\n").

Cause: http.ReadResponse reads any version, and ignores the coding before 1.1. RFC 9112 says to treat the latter as wrong framing (6.1).

An HTTP/1.0 answer with a length stays one (TestReaderAtEverySplit).

--- a/internal/net/answer/answer.go
+++ b/internal/net/answer/answer.go
@@ -19,8 +19,11 @@
 	maxStatus = 599
 )
 
-// Check returns an error if a response that net/http has read is none in HTTP/1.1.
-func Check(resp *http.Response) error {
+// check returns an error if a response that net/http has read is none in HTTP/1.
+func check(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return fmt.Errorf("the version %q is none of HTTP/1", resp.Proto)
+	}
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return fmt.Errorf("the status %q is none of HTTP", resp.Status)
 	}
--- a/internal/net/answer/reader.go
+++ b/internal/net/answer/reader.go
@@ -27,6 +27,8 @@
 	errHeads = errors.New("response heads exceed their budget")
 	// errInterim reports more than maxInterim interim answers.
 	errInterim = errors.New("received only interim responses")
+	// errCodedTooEarly reports a transfer coding, which HTTP/1.0 does not have.
+	errCodedTooEarly = errors.New("a response of HTTP/1.0 has a Transfer-Encoding")
 	// errFolded reports a line of a head that begins with white space: a name with a blank before it, or the rest of the value
 	// before it in an obsolete notation. net/http appends it to that value.
 	errFolded = errors.New("a line of the response head begins with white space")
@@ -55,12 +57,16 @@
 	resp, err := http.ReadResponse(r.buf, &http.Request{Method: method})
 	r.head.inHead = false
 	if err == nil {
-		err = Check(resp)
+		err = check(resp)
 	}
-	if err != nil {
+	switch {
+	case err != nil:
 		return nil, err
+	case r.head.coded && !resp.ProtoAtLeast(1, 1):
+		return nil, errCodedTooEarly // net/http ignores the coding, so that it would become a part of the body
+	default:
+		return resp, nil
 	}
-	return resp, nil
 }
 
 // Final is like Next and skips interim answers, with a status below 200.
@@ -89,6 +95,8 @@
 	inHead  bool        // a head is expected, rather than a body
 	status  bool        // the current line is the first one of its head
 	line    int         // length of the current line
+	matched int         // bytes at the beginning of the current line that are those of coding
+	coded   bool        // a line begins with coding
 	ahead   []byte      // read from src
 	next    int         // index in ahead of the first byte that has not been returned
 }
@@ -99,7 +107,8 @@
 		h.ahead = append(append([]byte{}, returned...), h.ahead[h.next:]...)
 		h.next = 0
 	}
-	h.inHead, h.status, h.line = true, true, 0
+	h.inHead, h.status, h.coded = true, true, false
+	h.beginLine()
 }
 
 func (h *headReader) buffered() bool { return h.next < len(h.ahead) }
@@ -155,18 +164,41 @@
 			h.inHead = false
 			return i + 1, nil
 		case b == '\n':
-			h.status, h.line = false, 0
+			h.status = false
+			h.beginLine()
 			h.kept += budget.HeaderLine
 		case b == '\r':
 		case h.line == 0 && !h.status && (b == ' ' || b == '\t'):
 			return 0, errFolded
 		default:
+			h.match(b)
 			h.line++
 		}
 	}
 	return len(p), nil
 }
 
+// coding is how the line with the transfer coding begins, in lower case.
+const coding = "transfer-encoding:"
+
+func (h *headReader) beginLine() { h.line, h.matched = 0, 0 }
+
+// match compares the next byte of the current line with coding.
+func (h *headReader) match(b byte) {
+	if h.coded || h.matched != h.line || lower(b) != coding[h.matched] {
+		return
+	}
+	h.matched++
+	h.coded = h.matched == len(coding)
+}
+
+func lower(b byte) byte {
+	if 'A' <= b && b <= 'Z' {
+		b += 'a' - 'A'
+	}
+	return b
+}
+
 // release forgets the heads.
 func (h *headReader) release() {
 	h.kept = 0
--- a/internal/net/answer/reader_test.go
+++ b/internal/net/answer/reader_test.go
@@ -48,9 +48,10 @@
 			"HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n" +
 			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nsecond\r\n0\r\n\r\n" +
 			"HTTP/1.1 204 No Content\r\n\r\n" +
+			"HTTP/1.0 404 Not Here\r\nX-Transfer-Encoding: chunked\r\nTransfer-Encodings: c\r\nContent-Length: 5\r\n\r\nsmall" +
 			"HTTP/1.1 500 Oops\nContent-Length: 0\n\n" +
 			"HTTP/1.1 200 OK\r\nX-Last: 1\r\n\r\nthe rest"
-		want = "200 first <nil>; 103  <nil>; 200 second <nil>; 204  <nil>; 500  <nil>; 200 the rest <nil>; unexpected EOF"
+		want = "200 first <nil>; 103  <nil>; 200 second <nil>; 204  <nil>; 404 small <nil>; 500  <nil>; 200 the rest <nil>; unexpected EOF"
 	)
 	if got := readAll(iotest.OneByteReader(strings.NewReader(wire))); got != want {
 		t.Errorf("byte by byte: %s, want %s", got, want)
@@ -69,6 +70,7 @@
 	const before = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
 	for name, broken := range map[string]string{
 		"status 000":          "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+		"coding before 1.1":   "HTTP/1.0 200 OK\r\nTRANSFER-ENCODING: chunked\r\nContent-Length: 0\r\n\r\n",
 		"blank in a name":     "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n",
 		"blank behind a name": "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n",
 		"blank before a name": "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n Content-Length: 0\r\n\r\n",
