tests: one stand-in for servers whose answers are broken

Six tests had a server of their own, and lists that differed. internal/net/answertest has the server and the list, so that every place that reads answers is tried with the same 16 answers, and with the reset during an upload where it sends long requests.

--- a/internal/target/http1/reset_test.go
+++ b/internal/target/http1/reset_test.go
@@ -6,43 +6,14 @@
 	"net/http"
 	"testing"
 	"time"
-)
-
-// uploadBytes is more than the kernel keeps of a request that its target does not read.
-const uploadBytes = 8 << 20
 
-// startEarly starts a target that answers each request before it has read the body, and then ends the connection.
-func startEarly(t *testing.T, answer string, end func(*net.TCPConn)) (addr string) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := io.ReadAtLeast(c, make([]byte, 1<<10), 100); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, answer)
-				time.Sleep(5 * time.Millisecond) // the client reads the answer while it writes the request
-				end(c.(*net.TCPConn))
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
+	"github.com/hickoryridge/hickoryridge/internal/net/answertest"
+)
 
 // upload sends a long request and returns what arrived of the answer's body, and the error that ended it.
 func upload(t *testing.T, c *Client, addr string) (string, error) {
 	t.Helper()
-	resp, err := c.Do(t.Context(), addr, &Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: make([]byte, uploadBytes)})
+	resp, err := c.Do(t.Context(), addr, &Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: make([]byte, answertest.UploadBytes)})
 	if err != nil {
 		return "", err
 	}
@@ -60,8 +31,8 @@
 		end   func(*net.TCPConn)
 		whole bool
 	}{
-		"reset":                    {func(c *net.TCPConn) { _ = c.SetLinger(0) }, false},
-		"closed with bytes unread": {func(*net.TCPConn) {}, false},
+		"reset":                    {answertest.Reset, false},
+		"closed with bytes unread": {func(*net.TCPConn) { time.Sleep(5 * time.Millisecond) }, false},
 		"ended, request not read": {func(c *net.TCPConn) {
 			_ = c.CloseWrite()
 			time.Sleep(50 * time.Millisecond)
@@ -72,7 +43,8 @@
 		}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			addr := startEarly(t, "HTTP/1.1 200 OK\r\n\r\npart", test.end)
+			server := answertest.Server{Answer: "HTTP/1.1 200 OK\r\n\r\npart", Early: true, End: test.end}
+			addr := server.Start(t)
 			c := New(Options{})
 			defer c.Close()
 			for n := range rounds {
