--- a/internal/target/http1/reset_test.go
+++ b/internal/target/http1/reset_test.go
@@ -33,6 +33,10 @@
 	}{
 		"reset":                    {answertest.Reset, false},
 		"closed with bytes unread": {func(*net.TCPConn) { time.Sleep(5 * time.Millisecond) }, false},
+		"ended, then reset": {func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			_ = c.SetLinger(0)
+		}, true},
 		"ended, request not read": {func(c *net.TCPConn) {
 			_ = c.CloseWrite()
 			time.Sleep(50 * time.Millisecond)
