--- a/cmd/hickoryctl/client.go
+++ b/cmd/hickoryctl/client.go
@@ -54,8 +54,8 @@
 func (c *client) raw(method, path string, body []byte) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	caller := http1.New(http1.Options{Connection: tcp.Options{DialTimeout: callTimeout}, OneRequest: true})
-	resp, err := caller.Do(ctx, c.control, &http1.Request{Method: method, URI: path, Host: c.control, Header: http.Header{}, Body: body})
+	sender := http1.New(http1.Options{Connection: tcp.Options{DialTimeout: callTimeout}, OneRequest: true})
+	resp, err := sender.Do(ctx, c.control, &http1.Request{Method: method, URI: path, Host: c.control, Header: http.Header{}, Body: body})
 	if err != nil {
 		return 0, nil, err
 	}
--- a/dispatch/backend.go
+++ b/dispatch/backend.go
@@ -106,7 +106,7 @@
 	Full                            // the target rejected the request
 	AddressReassigned               // another target now has the address
 	KVCacheGone                     // the KV cache to use no longer exists
-	ReplyBroken                     // the prompt was only processed, and the reply to that was broken
+	ReplyBroken                     // the reply to a prompt that was only processed is broken
 )
 
 // String returns the reason as it appears in logs.
--- a/internal/net/tcp/conn.go
+++ b/internal/net/tcp/conn.go
@@ -41,8 +41,10 @@
 	switch {
 	case err == nil, errors.Is(err, syscall.EPIPE):
 		return false
+	case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
+		return false // this process closed the connection, or its deadline has passed
 	default:
-		return !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) // of this process's own
+		return true
 	}
 }
 
