target: a departure is recorded for every start until now, on record or not

A target that no voter had on record said that it leaves and got 200; its first report arrived 2.4 s later, and requests went to it until it had gone.

Cause: the end of a start was kept only as a property of the start on record. Where none was, Deregister returned without a trace; where one was, but an earlier one, the departure was held against that. Ruled out: that the departure does not reach other instances (held where the target names its start).

TestReportAfterLeaving fails: 38 such requests with no start on record, 37 with an earlier one, none in the two cases where the start is named.

Change: Table.Depart records a departure for all starts up to an incarnation; where the target names none, that is every start until now. It is ordered and shared as an announcement, so that late reports of these starts have no effect anywhere, and a later start takes its place at once. After 20 s, longer than a report may be late, an earlier start that still announces itself is used again; it was ignored for ten minutes before.

--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -39,6 +39,9 @@
 	// if there is none.
 	permitRound chan struct{}
 
+	// numberOfStart returns the incarnation of a start at a time; nil if incarnations do not follow the wall clock.
+	numberOfStart func(time.Time) ident.Incarnation
+
 	deadlines      deadlines
 	leaseDeadlines map[ident.TargetID]clock.Time // ends of leases that have an entry in deadlines
 	viewVersion    state.Version                 // version of the view that the router has
@@ -55,6 +58,12 @@
 // SetMaxLease bounds the leases of targets. It must be called before the first announcement.
 func (pool *TargetPool) SetMaxLease(longest time.Duration) { pool.table.SetMaxLease(longest) }
 
+// NumberStarts sets the function that returns the incarnation of a start at a given time, where incarnations
+// follow the wall clock. It must be called before the first announcement.
+func (pool *TargetPool) NumberStarts(number func(time.Time) ident.Incarnation) {
+	pool.numberOfStart = number
+}
+
 // Announce records an announcement that a target sent to this instance.
 func (pool *TargetPool) Announce(now clock.Time, a target.Announcement) {
 	pool.mu.Lock()
@@ -65,24 +74,31 @@
 	pool.recordChanged(now, old, a.Target)
 }
 
-// Deregister records that a target leaves, for the given incarnation or, if that is 0, for the one
-// on record. Later announcements of that incarnation are ignored.
+// Deregister records that a target leaves: the given incarnation and those before it or, if that is 0, every start until
+// now. It has no effect on later starts.
 func (pool *TargetPool) Deregister(now clock.Time, id ident.TargetID, incarnation ident.Incarnation) {
 	pool.mu.Lock()
-	old, known := pool.table.Get(id)
-	pool.mu.Unlock()
-	if !known && incarnation == 0 {
-		return
+	defer pool.mu.Unlock()
+	if incarnation == 0 {
+		incarnation = pool.startedUntilNow(id)
 	}
-	a := old.Announcement
-	a.Target = id
-	a.Leaving = true
-	a.Cache = nil
-	if incarnation != 0 {
-		a.Incarnation = incarnation
+	pool.depart(now, id, incarnation)
+}
+
+// startedUntilNow returns the largest incarnation that a start of the target until now may have. pool.mu is held.
+func (pool *TargetPool) startedUntilNow(id ident.TargetID) ident.Incarnation {
+	known := pool.incarnation(id)
+	if pool.numberOfStart == nil {
+		return known
 	}
-	a.Sequence = math.MaxUint64
-	pool.Announce(now, a)
+	return max(known, pool.numberOfStart(time.Now()))
+}
+
+// depart records that the starts of a target up to an incarnation have left. pool.mu is held.
+func (pool *TargetPool) depart(now clock.Time, id ident.TargetID, until ident.Incarnation) {
+	old, _ := pool.table.Get(id)
+	pool.table.Depart(now, id, until)
+	pool.recordChanged(now, old, id)
 }
 
 // Cursor returns the position up to which another instance's listings have been merged.
@@ -128,7 +144,10 @@
 
 // applyAnnouncement passes a newer announcement on to the router. pool.mu is held.
 func (pool *TargetPool) applyAnnouncement(now clock.Time, old target.Record, a target.Announcement) {
-	if old.Target != "" && a.Incarnation > old.Incarnation {
+	if a.Service == "" {
+		return // the departure of a target that has not been on record
+	}
+	if old.Target != "" && a.Incarnation != old.Incarnation && !a.Departure() {
 		pool.router.Restarted(a.Target)
 		pool.limits.Forget(a.Target, a.Incarnation)
 		delete(pool.suspects, a.Target) // an earlier incarnation failed
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -43,6 +43,10 @@
 			a.Lease = desired.Duration(rng.IntN(2000)+1) * desired.Duration(time.Millisecond)
 			a.Leaving = rng.IntN(10) == 0
 			a.Engine.Busy = rng.IntN(10) == 0
+			a.Incarnation = ident.Incarnation(1 + step/25)
+			if rng.IntN(25) == 0 {
+				f.Deregister(at, a.Target, a.Incarnation*ident.Incarnation(rng.IntN(2)))
+			}
 			switch rng.IntN(4) {
 			case 0:
 				f.Announce(at, a)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -127,6 +127,9 @@
 	}
 	in.targetPool = dispatch.NewTargetPool(routing(s), in.gate, target.RunID(rand.Uint64()|1))
 	in.targetPool.SetMaxLease(s.TargetLease())
+	if s.Protocol == settings.ProtocolPlatform {
+		in.targetPool.NumberStarts(platform.NumberOfStart)
+	}
 	in.link = newLinkClient(in)
 	in.targetClient = http1.New(http1.Options{Dial: in.link.dial, Broken: in.link.broken, Heads: in.answerMemory})
 	in.directClient = http1.New(http1.Options{Heads: in.answerMemory})
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -147,6 +147,12 @@
 	}
 	old, known := in.targetPool.Record(a.Target)
 	in.targetPool.Announce(clock.Now(), a)
+	if r, _ := in.targetPool.Record(a.Target); r.Departure() {
+		in.log.WithFields(logrus.Fields{
+			"event": "announcement_outdated", "target": a.Target, "start": a.Incarnation, "sequence": a.Sequence, "left": r.Incarnation,
+		}).Info("an announcement arrived from a target that has left; it has no effect")
+		return nil
+	}
 	if known && old.Incarnation == a.Incarnation && old.Leaving == a.Leaving && old.Address == a.Address && old.Software == a.Software && roleOf(old.Engine) == roleOf(a.Engine) {
 		return nil
 	}
--- a/target/announce.go
+++ b/target/announce.go
@@ -6,8 +6,9 @@
 // instance with a short lease. Instances pull each other's direct announcements
 // and count the remaining lease from the time of their request, so that neither a
 // suspended relay nor a delayed reply can extend a lease. A target that shuts down
-// announces that it is leaving. The table retains its last sequence number, so
-// that no earlier announcement makes it usable again.
+// announces that it is leaving, or others report that it does. The table retains its
+// last sequence number, or the last start that has left, so that no earlier announcement
+// makes it usable again; see Table.Depart.
 package target
 
 import (
--- a/target/table.go
+++ b/target/table.go
@@ -50,7 +50,7 @@
 func (t *Table) MaxLease() time.Duration { return t.maxLease }
 
 // Apply records an announcement whose lease ends at expires, unless the table has a newer
-// one. direct is true if the target announced itself to this instance.
+// one, or a departure that includes its sender's start. direct is true if the target announced itself to this instance.
 func (t *Table) Apply(now clock.Time, a Announcement, expires clock.Time, direct bool) {
 	old := t.records[a.Target]
 	if old == nil {
@@ -58,7 +58,7 @@
 		return
 	}
 	order := cmp.Or(cmp.Compare(a.Incarnation, old.Incarnation), cmp.Compare(a.Sequence, old.Sequence))
-	if order < 0 {
+	if order < 0 && !(old.outdated(now) && now.Before(expires)) {
 		return
 	}
 	if order == 0 {
