dispatch, platform: nothing new is sent to a target that says in an answer that it leaves

A target that was cut off from the voters said in each answer that it leaves; requests went to it until the lease of its last announcement ended, and it ended with some of them.

Cause: that a target leaves was taken from announcements alone. Ruled out: that placers, retries or late announcements undo what was read (a plain service got as many requests as engines that placers choose; no code named the header).

Change: the header is a property of every outcome, rejections, failures and replies to prompts included. It is recorded as a departure in the table of targets, for all starts until the request was sent: late announcements have no effect, and choices, also those that a placer made before, retries, resumptions and the second half of a split pass the target over. A target that is back began later and is used at once.

--- a/dispatch/backend.go
+++ b/dispatch/backend.go
@@ -80,6 +80,8 @@
 	Body   io.ReadCloser  // an error before EOF means that the answer was truncated
 	Load   *router.Report // load reported with the answer; nil if there is none
 	Limit  permit.Statement
+	// Leaving is set if the target says that it leaves.
+	Leaving bool
 }
 
 // NotRun means that the target has not executed the request and never will.
@@ -88,10 +90,16 @@
 	Err    error
 	Load   *router.Report // load reported with the answer; nil if there is none
 	Limit  permit.Statement
+	// Leaving is set if the target says that it leaves.
+	Leaving bool
 }
 
 // Unknown means that the request may have been executed, or may still be.
-type Unknown struct{ Err error }
+type Unknown struct {
+	Err error
+	// Leaving is set if the head of an answer that cannot be used says that the target leaves.
+	Leaving bool
+}
 
 func (Answered) outcome() {}
 func (NotRun) outcome()   {}
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -406,6 +406,7 @@
 		a.ReportLoad(*answered.Load)
 	}
 	r.d.recordLimit(a, r.req.ID, answered.Limit)
+	r.d.recordLeaving(a, r.req.ID, answered.Leaving)
 	if !r.req.Rule.Stream || answered.Status >= http.StatusMultipleChoices {
 		r.countBegun(a.sentAt)
 	}
@@ -432,6 +433,7 @@
 		r.attemptsSent++
 		r.reached = true
 		r.mayHaveRun = true
+		r.d.recordLeaving(a, r.req.ID, o.Leaving)
 		if !r.req.Rule.Stream {
 			r.countBegun(a.sentAt) // most of what gets no answer has run
 		}
@@ -451,6 +453,7 @@
 		a.ReportLoad(*o.Load)
 	}
 	r.d.recordLimit(a, r.req.ID, o.Limit)
+	r.d.recordLeaving(a, r.req.ID, o.Leaving)
 	switch o.Reason {
 	case Unreachable:
 		r.unreached++
--- a/dispatch/forward_test.go
+++ b/dispatch/forward_test.go
@@ -46,10 +46,10 @@
 	}
 	if s.block {
 		<-ctx.Done()
-		return Unknown{ctx.Err()}
+		return Unknown{Err: ctx.Err()}
 	}
 	if len(s.outcomes) == 0 {
-		return Unknown{errors.New("more calls than outcomes")}
+		return Unknown{Err: errors.New("more calls than outcomes")}
 	}
 	o := s.outcomes[0]
 	s.outcomes = s.outcomes[1:]
@@ -150,7 +150,7 @@
 	notSent           = NotRun{Reason: Unreachable, Err: errors.New("refused")}
 	full              = NotRun{Reason: Full, Err: errors.New("full")}
 	addressReassigned = NotRun{Reason: AddressReassigned, Err: errors.New("another target")}
-	connectionReset   = Unknown{errors.New("reset")}
+	connectionReset   = Unknown{Err: errors.New("reset")}
 )
 
 const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
--- a/dispatch/placer.go
+++ b/dispatch/placer.go
@@ -238,6 +238,8 @@
 		}
 	case peer.NoteUnlimited:
 		changed = a.ReportLimit(permit.NotNamed{})
+	case peer.NoteLeaving:
+		a.ReportLeaving()
 	}
 	return changed
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -80,18 +80,18 @@
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	if incarnation == 0 {
-		incarnation = pool.startedUntilNow(id)
+		incarnation = max(pool.incarnation(id), pool.startedUntil(time.Now()))
 	}
 	pool.depart(now, id, incarnation)
 }
 
-// startedUntilNow returns the largest incarnation that a start of the target until now may have. pool.mu is held.
-func (pool *TargetPool) startedUntilNow(id ident.TargetID) ident.Incarnation {
-	known := pool.incarnation(id)
+// startedUntil returns the largest incarnation that a start until a time may have, or 0 if incarnations do not follow the
+// wall clock.
+func (pool *TargetPool) startedUntil(wall time.Time) ident.Incarnation {
 	if pool.numberOfStart == nil {
-		return known
+		return 0
 	}
-	return max(known, pool.numberOfStart(time.Now()))
+	return pool.numberOfStart(wall)
 }
 
 // depart records that the starts of a target up to an incarnation have left. pool.mu is held.
--- a/dispatch/prepared.go
+++ b/dispatch/prepared.go
@@ -28,6 +28,7 @@
 	}
 	if answered, ok := outcome.(Answered); ok {
 		r.d.recordLimit(a, r.req.ID, answered.Limit)
+		r.d.recordLeaving(a, r.req.ID, answered.Leaving)
 	}
 	return cache, outcome
 }
--- a/peer/placing.go
+++ b/peer/placing.go
@@ -105,6 +105,7 @@
 	// before.
 	NoteLimited
 	NoteUnlimited // the target named no rate limit in its answer
+	NoteLeaving   // the target said in its answer that it leaves
 )
 
 // Locate requests the region of an instance.
