dispatch: a target of the own interface says in an answer that it leaves, too

Header Target-Leaving, read where the rate limit is, for chats, prompts processed apart and plain requests; recorded as on the platform.

TestOwnTargetSaysLeaving, on the code before: two calls reach a plain target in each of three cases, eight a chat's; now one, and the next request is refused at once.

--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -31,6 +32,10 @@
 	return !r.Leaving
 }
 
+// SaysLeaving reports whether an answer says that its target leaves, given the values of the header for that. Other values than
+// "1" say nothing.
+func SaysLeaving(values []string) bool { return slices.Contains(values, "1") }
+
 // recordLeaving records whether the answer to a request says that its target leaves.
 func (d *Dispatcher) recordLeaving(a *Assignment, request string, leaving bool) {
 	if !leaving || !a.ReportLeaving() {
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"errors"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/hickoryridge/hickoryridge/desired"
+	"github.com/hickoryridge/hickoryridge/engine"
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
 	"github.com/hickoryridge/hickoryridge/internal/clock"
@@ -74,7 +77,7 @@
 			d := newForwardDispatcher(t, b, "", "", "")
 			numberStarts(d.cfg.Targets)
 			for range 10 {
-				forgetFailures(d.cfg.Targets) // so that targets are avoided for what they say only
+				forgetFailures(d.cfg.Targets)                                              // so that targets are avoided for what they say only
 				_ = d.Forward(t.Context(), newForwardRequest(test.rule), &recordingSink{}) // the first one may fail
 			}
 			if len(b.calls) < 10 {
@@ -202,3 +205,41 @@
 		t.Errorf("refused after %v, want at once", took)
 	}
 }
+
+// TestOwnTargetSaysLeaving guards against a target of the project's own interface that says in an answer that it leaves, and gets
+// requests all the same.
+func TestOwnTargetSaysLeaving(t *testing.T) {
+	info := newPlainRequest(http.MethodGet, "/").Info
+	chat := ChatRequest{Info: info, Service: &desired.Service{Name: "s"}, Request: &engine.Request{Model: "m", Messages: []engine.Message{{Role: "user", Content: "hi"}}, MaxTokens: 1}}
+	noDelivery := func(string) error { return nil }
+	plain := func(method string) func(d *Dispatcher) error {
+		return func(d *Dispatcher) error {
+			_, err := d.Plain(t.Context(), newPlainRequest(method, "/x"))
+			return err
+		}
+	}
+	for name, test := range map[string]struct {
+		status int
+		send   func(d *Dispatcher) error
+	}{
+		"request that may be repeated": {http.StatusOK, plain(http.MethodGet)},
+		"request that may run once":    {http.StatusOK, plain(http.MethodPost)},
+		"request that fails":           {http.StatusInternalServerError, plain(http.MethodPost)},
+		"chat that is turned away":     {http.StatusServiceUnavailable, func(d *Dispatcher) error { _, err := d.Chat(t.Context(), chat, noDelivery); return err }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var arrived atomic.Int64
+			d := newPlainDispatcher(t, false, func(w http.ResponseWriter, _ *http.Request) {
+				arrived.Add(1)
+				w.Header().Set("Target-Leaving", "1")
+				w.WriteHeader(test.status)
+			})
+			d.cfg.Engines = engine.NewClient(time.Second)
+			_ = test.send(d) // may fail
+			forgetFailures(d.cfg.Targets)
+			if err := test.send(d); !fault.Is(err, fault.NoTarget) || arrived.Load() != 1 {
+				t.Errorf("error %v after %d calls, want no target after 1", err, arrived.Load())
+			}
+		})
+	}
+}
--- a/dispatch/statements.go
+++ b/dispatch/statements.go
@@ -73,9 +73,10 @@
 	}
 }
 
-// recordHead records what the head of an answer states about the target's rate limit.
+// recordHead records what the head of an answer states about the target: its rate limit, and whether it leaves.
 func (d *Dispatcher) recordHead(a *Assignment, request string, status int, h http.Header) {
 	d.recordLimit(a, request, ParseLimit(d.cfg.Log, a.Choice.ID, request, status, h.Values(target.HeaderRequestRate)))
+	d.recordLeaving(a, request, SaysLeaving(h.Values(target.HeaderLeaving)))
 }
 
 // recordLimit records what an answer states about the target's rate limit.
--- a/target/announce.go
+++ b/target/announce.go
@@ -26,6 +26,9 @@
 // it takes from all instances together, as a decimal number.
 const HeaderRequestRate = "Max-Request-Rate"
 
+// HeaderLeaving is the header in which a target says, in an answer, that it leaves. Its value is "1".
+const HeaderLeaving = "Target-Leaving"
+
 // Bounds of announcements.
 const (
 	// MaxLease is the longest lease that a target may request. It bounds the time
