--- a/instance/servers.go
+++ b/instance/servers.go
@@ -148,9 +148,7 @@
 	old, known := in.targetPool.Record(a.Target)
 	in.targetPool.Announce(clock.Now(), a)
 	if r, _ := in.targetPool.Record(a.Target); r.Departure() {
-		in.log.WithFields(logrus.Fields{
-			"event": "announcement_outdated", "target": a.Target, "start": a.Incarnation, "sequence": a.Sequence, "left": r.Incarnation,
-		}).Info("an announcement arrived from a target that has left; it has no effect")
+		in.logOutdated(a, r)
 		return nil
 	}
 	if known && old.Incarnation == a.Incarnation && old.Leaving == a.Leaving && old.Address == a.Address && old.Software == a.Software && roleOf(old.Engine) == roleOf(a.Engine) {
@@ -163,6 +161,16 @@
 	return nil
 }
 
+// logOutdated logs an announcement that has no effect because the target has left. Targets that leave go on to announce that.
+func (in *Instance) logOutdated(a target.Announcement, left target.Record) {
+	if a.Leaving {
+		return
+	}
+	in.log.WithFields(logrus.Fields{
+		"event": "announcement_outdated", "target": a.Target, "start": a.Incarnation, "sequence": a.Sequence, "left": left.Incarnation,
+	}).Info("an announcement arrived from a target that has left; it has no effect")
+}
+
 func roleOf(e *target.EngineReport) desired.Role {
 	if e == nil {
 		return ""
