--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -157,9 +157,9 @@
 	}
 }
 
-// TestPlacerHearsOfLeaving guards against a placer that goes on to choose an engine which has said to another instance that it
+// TestLeavingReachesPlacer guards against a placer that goes on to choose an engine which has said to another instance that it
 // leaves, and against an instance that uses such a choice.
-func TestPlacerHearsOfLeaving(t *testing.T) {
+func TestLeavingReachesPlacer(t *testing.T) {
 	at := start
 	pool := newPlacerPool(&at, 1, 2)
 	placer := NewPlacer(pool)
--- a/target/departure_test.go
+++ b/target/departure_test.go
@@ -44,7 +44,7 @@
 			at := now.Add(test.delay)
 			direct.Apply(at, test.after, at.Add(2*time.Second), true)
 			share(direct, other, at)
-			for name, table := range map[string]*Table{"the instance that was told": direct, "another instance": other} {
+			for name, table := range map[string]*Table{"the instance that received it": direct, "another instance": other} {
 				r, _ := table.Get("e1")
 				if r.Usable(at) != test.usable {
 					t.Errorf("%s: usable is %v for record %+v", name, r.Usable(at), r)
