quorum: a follower whose disk stalls still confirms that it follows

Cause, for the disk: a follower sent its reply to a heartbeat behind the sync of all entries before, so a stall of the disks of a majority for longer than 0.4 s ended the leader's lease, and of 0.9 s its leadership; the instances' leases went with it, and an election had to follow on the same disks.

Now the round is acknowledged at once, with the part of the log that is synced; the entries are acknowledged behind their sync, as before. A round says that the member follows and withholds its vote, and a member that crashes withholds it anyway (mustProtectLease). Since a leader may now lead for long without committing, the uncommitted entries that it takes are bounded; beyond them a proposal is refused as an overload, not appended.

TestUncommittedEntriesAreBounded is new with the bound.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -36,6 +36,7 @@
 	maxBatchEntries  = 512     // entries in one Append
 	maxBatchBytes    = 1 << 20 // command bytes in one Append of several entries
 	maxInflight      = 4096    // entries sent to a member and not yet acknowledged
+	maxUncommitted   = 8192    // entries that a leader appends beyond the committed ones
 	promotionBacklog = 64      // entries by which a learner may lag when it is promoted
 )
 
@@ -107,6 +108,7 @@
 	votes            map[ident.DiskID]bool
 	electionDeadline clock.Time // end of the current election timeout
 	leaderContact    clock.Time // receipt of the last message from a leader
+	followedRound    Round      // newest round of the leader that was acknowledged before its entries were synced
 	startedAt        clock.Time
 	initialized      bool
 	diskRejected     bool
@@ -340,6 +342,7 @@
 	}
 	c.role = Follower
 	c.leader = leader
+	c.followedRound = 0
 	c.votes = nil
 	c.resetDeadline(now)
 }
--- a/quorum/follower.go
+++ b/quorum/follower.go
@@ -59,22 +59,42 @@
 	c.appendEntries(missing)
 	c.commit = max(c.commit, min(a.Commit, match))
 
-	response := c.newMessage(m.From)
-	response.Ack = &AppendAck{Round: a.Round, Accepted: true, Match: match}
-	// The acknowledgement must not be sent before the entries of an earlier message
-	// are synced, so it goes through the disk queue while such a sync is pending.
-	if len(missing) > 0 || c.syncedIndex < match {
-		seq := c.persist(Persist{Entries: missing, AfterSync: []Message{response}})
-		if len(missing) > 0 {
-			tail := missing[len(missing)-1]
-			c.pendingSyncs = append(c.pendingSyncs, pendingSync{seq: seq, term: tail.Term, index: tail.Index})
-		}
+	if len(missing) == 0 && c.syncedIndex >= match {
+		c.emit(Send{Message: c.ackAppend(m, match)})
 	} else {
-		c.emit(Send{Message: response})
+		c.ackRound(m, min(match, c.syncedIndex))
+		c.persistAppend(missing, c.ackAppend(m, match))
 	}
 	c.applyCommitted()
 }
 
+// ackRound acknowledges the round of an Append at once, unless an earlier Append of the round did so: that this
+// member follows, and withholds its vote, does not depend on its disk. synced is the part of the log that is synced.
+func (c *Core) ackRound(m Message, synced Index) {
+	if m.Append.Round <= c.followedRound {
+		return
+	}
+	c.followedRound = m.Append.Round
+	c.emit(Send{Message: c.ackAppend(m, synced)})
+}
+
+// persistAppend appends entries to the log on disk and sends response once they, and all entries before, are synced.
+func (c *Core) persistAppend(entries []Entry, response Message) {
+	seq := c.persist(Persist{Entries: entries, AfterSync: []Message{response}})
+	if len(entries) == 0 {
+		return
+	}
+	tail := entries[len(entries)-1]
+	c.pendingSyncs = append(c.pendingSyncs, pendingSync{seq: seq, term: tail.Term, index: tail.Index})
+}
+
+// ackAppend returns the reply to an accepted Append, which acknowledges its round and the log up to match.
+func (c *Core) ackAppend(m Message, match Index) Message {
+	response := c.newMessage(m.From)
+	response.Ack = &AppendAck{Round: m.Append.Round, Accepted: true, Match: match}
+	return response
+}
+
 // trimCovered drops the entries that this member's snapshot covers. They are
 // committed and therefore identical.
 func (c *Core) trimCovered(a *Append) (prev Index, entries []Entry) {
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -251,6 +251,12 @@
 		}
 		return
 	}
+	if c.lastIndex()-c.commit+Index(len(proposals)) > maxUncommitted {
+		for _, proposal := range proposals {
+			c.emit(Refused{ID: proposal.ID, Reason: fault.New(fault.Overloaded, "%d entries are not committed", c.lastIndex()-c.commit)})
+		}
+		return
+	}
 	entries := make([]Entry, 0, len(proposals))
 	for i, proposal := range proposals {
 		entries = append(entries, Entry{Kind: EntryCommand, Data: proposal.Data})
--- a/quorum/rules_test.go
+++ b/quorum/rules_test.go
@@ -204,3 +204,19 @@
 		t.Errorf("reply after the sync: %+v, want it to acknowledge %d", reply.Message.Ack, meta.Index)
 	}
 }
+
+// TestUncommittedEntriesAreBounded guards against a leader that collects proposals without end while no majority can sync them.
+func TestUncommittedEntriesAreBounded(t *testing.T) {
+	c := newCore("d1", nil, 1)
+	now := elect(t, c, at(0))
+	for n := range maxUncommitted + 10 {
+		c.Step(now, Propose{Proposals: []Proposal{{ID: uint64(n)}}})
+	}
+	if got := c.lastIndex() - c.commit; got != maxUncommitted {
+		t.Errorf("%d entries are not committed, want %d", got, maxUncommitted)
+	}
+	r, ok := find[Refused](c.Step(now, Propose{Proposals: []Proposal{{ID: 1}}}))
+	if !ok || !fault.Is(r.Reason, fault.Overloaded) {
+		t.Errorf("one more: %+v, want it refused as an overload", r)
+	}
+}
--- a/quorum/schedule_test.go
+++ b/quorum/schedule_test.go
@@ -24,6 +24,7 @@
 	frozen         clock.Time
 	queue          []Event // arrived while frozen
 	unsyncedWrites []Persist
+	stalled        clock.Time  // until when its disk completes no sync
 	stored         StoredState // synced to disk
 	applied        Index
 	restartAt      clock.Time // when a crashed replica starts again
@@ -224,6 +225,7 @@
 	r.core = nil
 	r.queue = nil
 	r.frozen = 0
+	r.stalled = 0
 	r.unsyncedWrites = nil
 	r.restartAt = w.now.Add(time.Duration(w.rng.IntN(1500)) * time.Millisecond)
 	if w.rng.IntN(2) == 0 {
@@ -355,6 +357,9 @@
 		w.nextID++
 		w.reads[w.nextID] = w.newestApplied
 		w.step(r, Read{ID: w.nextID})
+	case 18:
+		w.tracef("stall disk of %s until %v", r.disk, time.Duration(until))
+		r.stalled = until
 	case 15, 16, 17:
 		if r.core != nil && r.core.role == Leader && r.frozen <= w.now {
 			w.repair(r)
@@ -436,7 +441,7 @@
 	for _, ev := range queue {
 		w.step(r, ev)
 	}
-	if n := len(r.unsyncedWrites); n > 0 && w.rng.IntN(w.syncSteps) == 0 {
+	if n := len(r.unsyncedWrites); n > 0 && r.stalled <= w.now && w.rng.IntN(w.syncSteps) == 0 {
 		w.sync(r, 1+w.rng.IntN(n))
 	}
 	w.step(r, Tick{})
@@ -447,6 +452,7 @@
 	w.cuts = map[[2]ident.DiskID]clock.Time{}
 	for _, r := range w.replicas {
 		r.frozen = min(r.frozen, w.now)
+		r.stalled = min(r.stalled, w.now)
 	}
 	w.syncSteps = 1
 	before := w.newestApplied
@@ -478,7 +484,7 @@
 	return w, w.heal()
 }
 
-// TestSchedules runs 10,000 seeded schedules of crashes, lost disks, pauses, network
+// TestSchedules runs 10,000 seeded schedules of crashes, lost disks, pauses, stalled disks, network
 // partitions, membership changes, leadership transfers and reads with three and five
 // replicas. It checks that a term has one leader, that leases do not overlap, that
 // applied entries never differ and that reads are linearizable.
