quorum: elections end on slow disks

What callers saw: a quorum whose disks take 0.3 s or more for a sync had no leader at all; with the stall of the commit before, the election after it had to fit into the same timeouts. Cause: the timeout of a candidate ran while its own vote was still being synced, and that of a voter while its grant was; either then began the next election, which made the votes in progress worthless.

Now a member whose term or vote is not synced begins no election, and its timeout begins with the sync, longer by what that took, since the others' disks are likely to take as long. After two candidacies without contact with a leader the timeout doubles, after three it doubles again: where an election takes longer than can be known here (slow links, one slow disk), each one that begins later than the last still ends. A first or second candidacy waits as before.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -38,6 +38,8 @@
 	maxInflight      = 4096    // entries sent to a member and not yet acknowledged
 	maxUncommitted   = 8192    // entries that a leader appends beyond the committed ones
 	promotionBacklog = 64      // entries by which a learner may lag when it is promoted
+	// maxPatienceDoublings bounds how often fruitless candidacies double the election timeout.
+	maxPatienceDoublings = 2
 )
 
 // Config configures a Core.
@@ -109,7 +111,9 @@
 	electionDeadline clock.Time // end of the current election timeout
 	leaderContact    clock.Time // receipt of the last message from a leader
 	followedRound    Round      // newest round of the leader that was acknowledged before its entries were synced
+	candidacies      int        // own candidacies since the last contact with a leader
 	startedAt        clock.Time
+	steppedAt        clock.Time // time of the latest step
 	initialized      bool
 	diskRejected     bool
 
@@ -124,6 +128,9 @@
 	transferStarted clock.Time
 
 	persistSeq   uint64
+	syncedSeq    uint64     // of the newest Persist action that is synced
+	hardSeq      uint64     // of the newest Persist action with a HardState
+	hardAt       clock.Time // of that action
 	pendingSyncs []pendingSync
 	actions      []Action
 	syncedIndex  Index // highest index synced by this member
@@ -210,6 +217,7 @@
 	if !c.initialized {
 		c.initialize(now)
 	}
+	c.steppedAt = now
 	c.expireTransfer(now)
 	switch ev := ev.(type) {
 	case Tick:
@@ -297,13 +305,16 @@
 	return ok && m.Voter
 }
 
+// resetDeadline begins the election timeout anew. It is longer after fruitless candidacies: the syncs or links that an election
+// depends on may take longer than the timeout, and each candidacy ends those before it.
 func (c *Core) resetDeadline(now clock.Time) {
 	spread := c.cfg.Timing.ElectionMax - c.cfg.Timing.ElectionMin
 	d := c.cfg.Timing.ElectionMin
 	if spread > 0 {
 		d += time.Duration(c.rng.Int64N(int64(spread)))
 	}
-	c.electionDeadline = now.Add(d)
+	doublings := min(max(c.candidacies-1, 0), maxPatienceDoublings)
+	c.electionDeadline = now.Add(d << doublings)
 }
 
 func (c *Core) newMessage(to ident.DiskID) Message {
@@ -313,6 +324,10 @@
 func (c *Core) persist(p Persist) uint64 {
 	c.persistSeq++
 	p.Seq = c.persistSeq
+	if p.Hard != nil {
+		c.hardSeq = p.Seq
+		c.hardAt = c.steppedAt
+	}
 	c.emit(p)
 	return c.persistSeq
 }
@@ -322,12 +337,15 @@
 		c.leaderTick(now)
 		return
 	}
-	if now.Before(c.electionDeadline) || c.diskRejected || !c.isVoter(c.cfg.Self) {
+	if now.Before(c.electionDeadline) || c.votePending() || c.diskRejected || !c.isVoter(c.cfg.Self) {
 		return
 	}
 	c.campaign(now, true, false)
 }
 
+// votePending reports whether this member's term or vote is not yet synced. Another election could not end any sooner.
+func (c *Core) votePending() bool { return c.syncedSeq < c.hardSeq }
+
 // becomeFollower enters term t as a follower and discards the state of any
 // earlier candidacy or leadership.
 func (c *Core) becomeFollower(now clock.Time, t Term, leader ident.DiskID) {
@@ -379,6 +397,13 @@
 }
 
 func (c *Core) persisted(now clock.Time, seq uint64) {
+	wasPending := c.votePending()
+	c.syncedSeq = max(c.syncedSeq, seq)
+	if wasPending && !c.votePending() {
+		// The requests or the vote were sent only now. The others' disks may take as long as this one.
+		c.resetDeadline(now)
+		c.electionDeadline = c.electionDeadline.Add(now.Sub(c.hardAt))
+	}
 	for len(c.pendingSyncs) > 0 && c.pendingSyncs[0].seq <= seq {
 		s := c.pendingSyncs[0]
 		c.pendingSyncs = c.pendingSyncs[1:]
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -11,6 +11,9 @@
 func (c *Core) campaign(now clock.Time, pre, forced bool) {
 	c.leader = ""
 	c.votes = map[ident.DiskID]bool{}
+	if !pre {
+		c.candidacies++
+	}
 	c.resetDeadline(now)
 	if pre {
 		c.role = PreCandidate
--- a/quorum/follower.go
+++ b/quorum/follower.go
@@ -14,6 +14,7 @@
 		c.becomeFollower(now, m.Term, m.From)
 	}
 	c.leaderContact = now
+	c.candidacies = 0
 	c.resetDeadline(now)
 	return true
 }
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -10,6 +10,7 @@
 	c.role = Leader
 	c.leader = c.cfg.Self
 	c.votes = nil
+	c.candidacies = 0
 	c.progress = map[ident.DiskID]*progress{}
 	c.round = 0
 	c.sentRounds = nil
--- a/quorum/slow_test.go
+++ b/quorum/slow_test.go
@@ -115,3 +115,23 @@
 		})
 	}
 }
+
+// TestElectionOnSlowDisks guards against elections that never end since each takes more syncs than fit into the time after which
+// the next one begins.
+func TestElectionOnSlowDisks(t *testing.T) {
+	const recovery = 15 * time.Second // the platform's bound from the loss of a leader until all is served again
+	for name, syncTime := range map[string]time.Duration{
+		"fast": tickInterval, "300ms": 300 * time.Millisecond, "500ms": 500 * time.Millisecond, "700ms": 700 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(slowSeeds) {
+				w := newSlowSimulation(t, seed, syncTime)
+				led := false
+				w.run(recovery, func() { led = led || w.ready() != nil })
+				if !led {
+					t.Errorf("seed %d: no leader within %v; terms up to %d", seed, recovery, w.replicas[0].core.hard.Term)
+				}
+			}
+		})
+	}
+}
