quorum: the time in which a member was paused doesn't count as silence of the others

Cause: a member that runs again after a pause compared its deadlines with true time. A leader found that no quorum had acknowledged a broadcast for longer than ElectionMax and ended its term; a follower found that it had heard nothing, and campaigned; both before the first messages of after the pause could arrive.

Now the time that a member waits for others is running time: a gap of more than 100 ms between two steps counts as 100 ms (the node steps the core every 10 ms). Leases, and their protection against votes, go by true time as before.

Ruled out: deadlines shifted by the pause with the contact set to the time of the acknowledgement: a leader whose acknowledgements all come very late would then keep its office without ever having a lease.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -40,6 +40,9 @@
 	promotionBacklog = 64      // entries by which a learner may lag when it is promoted
 	// maxPatienceDoublings bounds how often fruitless candidacies double the election timeout.
 	maxPatienceDoublings = 2
+	// maxStepGap is the longest time between two steps that counts as such. A member that was paused for longer can't
+	// conclude from it that the others are silent.
+	maxStepGap = 100 * time.Millisecond
 )
 
 // Config configures a Core.
@@ -88,6 +91,7 @@
 type sentRound struct {
 	round  Round
 	sentAt clock.Time
+	ranAt  clock.Time // sentAt as running time
 }
 
 // Core is the protocol state of one member. Use New to create one. A Core is not
@@ -108,12 +112,13 @@
 	role             Role
 	leader           ident.DiskID
 	votes            map[ident.DiskID]bool
-	electionDeadline clock.Time // end of the current election timeout
+	electionDeadline clock.Time // end of the current election timeout, as running time
 	leaderContact    clock.Time // receipt of the last message from a leader
 	followedRound    Round      // newest round of the leader that was acknowledged before its entries were synced
 	candidacies      int        // own candidacies since the last contact with a leader
 	startedAt        clock.Time
-	steppedAt        clock.Time // time of the latest step
+	steppedAt        clock.Time    // time of the latest step
+	paused           time.Duration // sum of the pauses between steps, by which running time lags
 	initialized      bool
 	diskRejected     bool
 
@@ -122,7 +127,7 @@
 	sentRounds      []sentRound
 	nextHeartbeat   clock.Time
 	leaseExpiry     clock.Time
-	quorumSentAt    clock.Time // sending time of the newest round that a quorum acknowledged
+	quorumSentAt    clock.Time // sending time of the newest round that a quorum acknowledged, as running time
 	reads           []pendingRead
 	termStartIndex  Index // index of the first entry of this leader's term
 	transferStarted clock.Time
@@ -217,7 +222,7 @@
 	if !c.initialized {
 		c.initialize(now)
 	}
-	c.steppedAt = now
+	c.recordStep(now)
 	c.expireTransfer(now)
 	switch ev := ev.(type) {
 	case Tick:
@@ -245,9 +250,22 @@
 func (c *Core) initialize(now clock.Time) {
 	c.initialized = true
 	c.startedAt = now
+	c.steppedAt = now
 	c.resetDeadline(now)
 }
 
+// recordStep records the time of a step, and what this member was paused for before it. The time that the member waits for
+// others is running time, which excludes pauses: messages of a pause may still be on the way, and where the member was paused
+// the others may have been as well. Leases and their protection go by true time.
+func (c *Core) recordStep(now clock.Time) {
+	pause := max(0, now.Sub(c.steppedAt)-maxStepGap)
+	c.steppedAt = now
+	c.paused += pause
+}
+
+// ran returns now as running time.
+func (c *Core) ran(now clock.Time) clock.Time { return now.Add(-c.paused) }
+
 func (c *Core) emit(a Action) { c.actions = append(c.actions, a) }
 
 func (c *Core) lastIndex() Index { return c.meta.Index + Index(len(c.entries)) }
@@ -314,7 +332,7 @@
 		d += time.Duration(c.rng.Int64N(int64(spread)))
 	}
 	doublings := min(max(c.candidacies-1, 0), maxPatienceDoublings)
-	c.electionDeadline = now.Add(d << doublings)
+	c.electionDeadline = c.ran(now).Add(d << doublings)
 }
 
 func (c *Core) newMessage(to ident.DiskID) Message {
@@ -337,7 +355,7 @@
 		c.leaderTick(now)
 		return
 	}
-	if now.Before(c.electionDeadline) || c.votePending() || c.diskRejected || !c.isVoter(c.cfg.Self) {
+	if c.ran(now).Before(c.electionDeadline) || c.votePending() || c.diskRejected || !c.isVoter(c.cfg.Self) {
 		return
 	}
 	c.campaign(now, true, false)
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -15,7 +15,7 @@
 	c.round = 0
 	c.sentRounds = nil
 	c.leaseExpiry = 0
-	c.quorumSentAt = now
+	c.quorumSentAt = c.ran(now)
 	c.transferStarted = 0
 	c.updateProgress(now)
 	c.termStartIndex = c.lastIndex() + 1
@@ -54,7 +54,7 @@
 // acknowledged a broadcast for longer than ElectionMax (unless there is only one voter),
 // or if this member is not a voter of the committed membership.
 func (c *Core) leaderTick(now clock.Time) {
-	if now.Sub(c.quorumSentAt) > c.cfg.Timing.ElectionMax && c.members.Voters() > 1 {
+	if c.ran(now).Sub(c.quorumSentAt) > c.cfg.Timing.ElectionMax && c.members.Voters() > 1 {
 		c.becomeFollower(now, c.hard.Term, "")
 		return
 	}
@@ -71,7 +71,7 @@
 // heartbeat if it has none.
 func (c *Core) broadcast(now clock.Time) {
 	c.round++
-	c.sentRounds = append(c.sentRounds, sentRound{round: c.round, sentAt: now})
+	c.sentRounds = append(c.sentRounds, sentRound{round: c.round, sentAt: now, ranAt: c.ran(now)})
 	c.nextHeartbeat = now.Add(c.cfg.Timing.Heartbeat)
 	for _, m := range c.members.Members {
 		if m.Disk != c.cfg.Self {
@@ -221,8 +221,8 @@
 	}
 	reached := majorityReached(c, c.round, func(p *progress) Round { return p.ackedRound })
 	for len(c.sentRounds) > 0 && c.sentRounds[0].round <= reached {
-		c.quorumSentAt = c.sentRounds[0].sentAt
-		c.leaseExpiry = c.quorumSentAt.Add(c.cfg.Timing.Lease)
+		c.quorumSentAt = c.sentRounds[0].ranAt
+		c.leaseExpiry = c.sentRounds[0].sentAt.Add(c.cfg.Timing.Lease)
 		c.sentRounds = c.sentRounds[1:]
 	}
 	c.confirmReads(reached)
--- a/quorum/slow_test.go
+++ b/quorum/slow_test.go
@@ -135,3 +135,22 @@
 		})
 	}
 }
+
+// TestPauseKeepsLeader guards against an election after all voters have been paused together, as on one machine that is: the time
+// in which a member did not run tells nothing about the others.
+func TestPauseKeepsLeader(t *testing.T) {
+	for seed := range uint64(slowSeeds) {
+		w := newSlowSimulation(t, seed, tickInterval)
+		w.run(5*time.Second, func() {})
+		leader := w.ready()
+		if leader == nil {
+			t.Fatalf("seed %d: no leader", seed)
+		}
+		term := leader.core.hard.Term
+		w.now = w.now.Add(3 * time.Second)
+		w.run(DefaultTiming().ElectionMin, func() {})
+		if w.ready() != leader || leader.core.hard.Term != term {
+			t.Errorf("seed %d: after the pause %s does not lead again in term %d", seed, leader.disk, term)
+		}
+	}
+}
