quorum: after a pause of the leader no member counts as silent for the pause

Cause: since a leader keeps its office over a pause of all voters. With more than three voters, a pause of more than 8 s, and a majority's replies a tick before the others', it could have removed the others as lost (by reading; not seen). The last contact with a member is running time now, too, and reported moved on by the pauses since.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -67,8 +67,8 @@
 	nextIndex      Index
 	ackedRound     Round // newest round that the member acknowledged
 	snapshotSentAt clock.Time
-	lastContact    clock.Time
-	rejected       bool // the member's disk lost acknowledged entries
+	lastContact    clock.Time // receipt of its latest reply, or the start of this leadership, as running time
+	rejected       bool       // the member's disk lost acknowledged entries
 }
 
 // pendingRead is a linearizable read that waits for a quorum to confirm a round.
@@ -181,11 +181,13 @@
 
 // MemberState is the leader's view of a member, for status reports and promotion.
 type MemberState struct {
-	Member      Member
-	MatchIndex  Index
-	CaughtUp    bool
-	Rejected    bool
-	LastContact clock.Time // receipt of its latest reply, or the start of this leadership
+	Member     Member
+	MatchIndex Index
+	CaughtUp   bool
+	Rejected   bool
+	// LastContact is the receipt of its latest reply, or the start of this leadership, moved on by the time for which this
+	// member was paused since.
+	LastContact clock.Time
 }
 
 // MemberStates returns the leader's view of every member. It returns nil if this
@@ -209,7 +211,7 @@
 			MatchIndex:  match,
 			CaughtUp:    match+promotionBacklog >= c.lastIndex() && match >= c.termStartIndex,
 			Rejected:    p.rejected,
-			LastContact: p.lastContact,
+			LastContact: p.lastContact.Add(c.paused),
 		})
 	}
 	return states
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -28,7 +28,7 @@
 func (c *Core) updateProgress(now clock.Time) {
 	for _, m := range c.members.Members {
 		if c.progress[m.Disk] == nil {
-			c.progress[m.Disk] = &progress{nextIndex: c.lastIndex() + 1, lastContact: now}
+			c.progress[m.Disk] = &progress{nextIndex: c.lastIndex() + 1, lastContact: c.ran(now)}
 		}
 	}
 	for d := range c.progress {
@@ -135,7 +135,7 @@
 		return
 	}
 	ack := m.Ack
-	p.lastContact = now
+	p.lastContact = c.ran(now)
 	p.ackedRound = max(p.ackedRound, ack.Round)
 	if ack.Accepted {
 		c.handleAcceptedAppend(now, p, m)
--- a/quorum/slow_test.go
+++ b/quorum/slow_test.go
@@ -148,7 +148,13 @@
 		}
 		term := leader.core.hard.Term
 		w.now = w.now.Add(3 * time.Second)
-		w.run(DefaultTiming().ElectionMin, func() {})
+		w.run(DefaultTiming().ElectionMin, func() {
+			for _, m := range leader.core.MemberStates() {
+				if silent := w.now.Sub(m.LastContact); m.Member.Disk != leader.disk && silent > time.Second {
+					t.Errorf("seed %d: %s counts as silent for %v after the pause", seed, m.Member.Disk, silent)
+				}
+			}
+		})
 		if w.ready() != leader || leader.core.hard.Term != term {
 			t.Errorf("seed %d: after the pause %s does not lead again in term %d", seed, leader.disk, term)
 		}
