quorum, instance: slow disks and pauses of voters are logged; tests that fail print them

A replica logs a write to its data directory (disk_slow) or a time in which it did not run (paused) of 0.3 s or longer, once it is over. Tests of platform and the soak print these and the changes of the leader when they fail; hickoryctl explain lists them with the state changes.

TestFrozenLeader awaits the line of the frozen voter.

--- a/e2e/quorum_test.go
+++ b/e2e/quorum_test.go
@@ -1,7 +1,9 @@
 package e2e
 
 import (
+	"bytes"
 	"net/http"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -112,6 +114,10 @@
 			t.Errorf("the former leader reports document %d, want %d in force (readiness status %d)", r.Number, c.number, a.status)
 		}
 		c.awaitReady(old)
+		c.await("the pause to be logged", func() bool {
+			log, err := os.ReadFile(c.nodes[old].logPath)
+			return err == nil && bytes.Contains(log, []byte("event=paused "))
+		})
 	}
 }
 
--- a/instance/voter.go
+++ b/instance/voter.go
@@ -140,7 +140,8 @@
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(v.in.settings.Instance)) // Write of a hash never fails
 	timing := quorum.DefaultTiming()
-	node, err := quorum.NewNode(quorum.NodeConfig{Timing: timing, Seed: h.Sum64()}, v.disk(), v.machine, v.sendQuorum)
+	cfg := quorum.NodeConfig{Timing: timing, Seed: h.Sum64(), ReportDelay: v.logDelay}
+	node, err := quorum.NewNode(cfg, v.disk(), v.machine, v.sendQuorum)
 	if err != nil {
 		return err
 	}
@@ -161,6 +162,16 @@
 	return nil
 }
 
+// logDelay logs what kept the replica from its work.
+func (v *voter) logDelay(d quorum.Delay) {
+	switch d := d.(type) {
+	case quorum.SlowWrite:
+		v.in.log.WithFields(logrus.Fields{"event": "disk_slow", "ms": d.Took.Milliseconds()}).Warn("a write to the data directory took long")
+	case quorum.Pause:
+		v.in.log.WithFields(logrus.Fields{"event": "paused", "ms": d.Took.Milliseconds()}).Warn("this replica did not run for a time")
+	}
+}
+
 // sendQuorum sends a message of the quorum protocol to the instance that owns the disk. It drops
 // the message if the owner is unknown.
 func (v *voter) sendQuorum(m quorum.Message) {
--- a/internal/log/trace/trace.go
+++ b/internal/log/trace/trace.go
@@ -32,7 +32,7 @@
 // stateEvents are the events that report a state change of an instance.
 var stateEvents = []string{
 	"started", "draining", "stopped", "settings_reloaded", "lease_lost", "lease_held", "view", "leadership", "members", "member_lost",
-	"link_up", "link_down", "target_changed", "target_leaves", "voter_stopped", "voter_reopened", "log_dropped",
+	"link_up", "link_down", "target_changed", "target_leaves", "voter_stopped", "voter_reopened", "disk_slow", "paused", "log_dropped",
 }
 
 // Parse parses a line of key=value pairs. ok is false if it has no valid time or no event.
--- a/quorum/bench_test.go
+++ b/quorum/bench_test.go
@@ -161,12 +161,7 @@
 // BenchmarkCoreStep measures the CPU time of one proposal through a leader's core.
 func BenchmarkCoreStep(b *testing.B) {
 	c := newCore("d1", nil, 1)
-	now := at(0)
-	c.Step(now, Tick{})
-	now = now.Add(2 * time.Second)
-	c.Step(now, Tick{})
-	syncAll(c, now, c.Step(now, Receive{Message: Message{From: "d2", To: "d1", Term: 1, VoteResponse: &VoteResponse{Pre: true, Granted: true}}}))
-	syncAll(c, now, c.Step(now, Receive{Message: Message{From: "d2", To: "d1", Term: 2, VoteResponse: &VoteResponse{Granted: true}}}))
+	now := elect(b, c, at(0))
 	i := Index(2)
 	for b.Loop() {
 		i++
--- a/quorum/diskwriter.go
+++ b/quorum/diskwriter.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+
+	"github.com/hickoryridge/hickoryridge/internal/clock"
 )
 
 // compactRequest is a request to the disk goroutine to replace the snapshot and
@@ -16,7 +18,10 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case v := <-n.diskQueue:
-			if err := n.writeBatch(v); err != nil {
+			began := clock.Now()
+			err := n.writeBatch(v)
+			n.reportDelay(SlowWrite{Took: clock.Now().Sub(began)})
+			if err != nil {
 				return err
 			}
 		}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -49,8 +49,26 @@
 	SnapshotEvery  Index  // 0 means DefaultSnapshotEvery
 	Seed           uint64 // seed of the random election timeouts
 	SyncEachRecord bool   // sync after each record instead of each batch; for benchmarks only
+	// ReportDelay receives a Delay of minReportedDelay or longer, once it is over. It must not block, and it may be nil. It is
+	// called by two goroutines.
+	ReportDelay func(Delay)
 }
 
+// minReportedDelay is the shortest delay that is reported. One that is not much longer can end a leader's lease.
+const minReportedDelay = 300 * time.Millisecond
+
+// Delay is what kept this member from its work: a SlowWrite or a Pause.
+type Delay interface{ length() time.Duration }
+
+// SlowWrite is a write to the disk, with its sync, that took long. The disk was slow, or the member was paused meanwhile.
+type SlowWrite struct{ Took time.Duration }
+
+// Pause is a time in which the member did not run, though it was due every tickInterval.
+type Pause struct{ Took time.Duration }
+
+func (d SlowWrite) length() time.Duration { return d.Took }
+func (d Pause) length() time.Duration     { return d.Took }
+
 // input is an event for the core.
 type input struct {
 	event Event
@@ -210,6 +228,7 @@
 func (n *Node) runCore(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	steppedAt := clock.Now()
 	for {
 		var err error
 		select {
@@ -225,6 +244,16 @@
 		if err != nil {
 			return err
 		}
+		now := clock.Now()
+		n.reportDelay(Pause{Took: now.Sub(steppedAt)})
+		steppedAt = now
+	}
+}
+
+// reportDelay reports a delay if it took long enough.
+func (n *Node) reportDelay(d Delay) {
+	if d.length() >= minReportedDelay && n.cfg.ReportDelay != nil {
+		n.cfg.ReportDelay(d)
 	}
 }
 
--- a/quorum/rules_test.go
+++ b/quorum/rules_test.go
@@ -50,7 +50,7 @@
 }
 
 // elect makes a core the leader of the next term with the votes of d2.
-func elect(t *testing.T, c *Core, now clock.Time) clock.Time {
+func elect(t testing.TB, c *Core, now clock.Time) clock.Time {
 	t.Helper()
 	c.Step(now, Tick{})
 	for end := now.Add(2 * time.Second); now < end; {
