--- a/quorum/slow_test.go
+++ b/quorum/slow_test.go
@@ -29,6 +29,18 @@
 	}
 }
 
+// newLedSimulation returns a simulation with fast disks that has elected a leader, and the leader.
+func newLedSimulation(t *testing.T, seed uint64) (*slowSimulation, *replica) {
+	t.Helper()
+	w := newSlowSimulation(t, seed, tickInterval)
+	w.run(5*time.Second, func() {})
+	leader := w.ready()
+	if leader == nil {
+		t.Fatalf("seed %d: no leader", seed)
+	}
+	return w, leader
+}
+
 // stall delays the sync in progress, or the next one, at a disk.
 func (w *slowSimulation) stall(r *replica, d time.Duration) {
 	w.syncing[r.disk] = len(r.unsyncedWrites)
@@ -89,12 +101,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(slowSeeds) {
-				w := newSlowSimulation(t, seed, tickInterval)
-				w.run(5*time.Second, func() {})
-				leader := w.ready()
-				if leader == nil {
-					t.Fatalf("seed %d: no leader", seed)
-				}
+				w, leader := newLedSimulation(t, seed)
 				term := leader.core.hard.Term
 				for _, r := range w.replicas {
 					if stalls(leader, r) {
@@ -140,12 +147,7 @@
 // in which a member did not run tells nothing about the others.
 func TestPauseKeepsLeader(t *testing.T) {
 	for seed := range uint64(slowSeeds) {
-		w := newSlowSimulation(t, seed, tickInterval)
-		w.run(5*time.Second, func() {})
-		leader := w.ready()
-		if leader == nil {
-			t.Fatalf("seed %d: no leader", seed)
-		}
+		w, leader := newLedSimulation(t, seed)
 		term := leader.core.hard.Term
 		w.now = w.now.Add(3 * time.Second)
 		w.run(DefaultTiming().ElectionMin, func() {
