--- a/quorum/core.go
+++ b/quorum/core.go
@@ -3,7 +3,7 @@
 // Members replicate a log of entries from a leader, which a majority of voters
 // elects for a term. An entry is committed once a majority of voters has synced
 // it to disk; committed entries are never lost or reordered. The package differs
-// from the basic protocol in three ways:
+// from the basic protocol in four ways:
 //
 //   - A member is identified by its disk. Messages carry disk identities, not
 //     instance names, so that an instance whose disk is replaced by an empty one
@@ -16,6 +16,10 @@
 //     acts only within its lease.
 //   - A membership change affects one voter at a time, and is accepted only after
 //     the leader has committed an entry of its own term.
+//   - A member doesn't take its own delays for failures of others. It acknowledges
+//     a broadcast before the entries in it are synced, which it acknowledges later,
+//     so a slow disk delays commits and not the lease. It waits for others in
+//     running time, which excludes the time for which it was paused itself.
 //
 // Core is the protocol as a deterministic state machine without clocks,
 // goroutines, disks or sockets: Step takes the time and an event and returns
