--- a/review/standin3/cluster.go
+++ b/review/standin3/cluster.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -66,14 +67,29 @@
 // zone is a place for nodes and servers.
 type zone struct{ name, region string }
 
-// freeAddress returns a loopback address with a port that is free now.
+// Ports of processes lie below those that the kernel gives to outgoing connections, which might take one before its process
+// listens.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+var taken = map[int]bool{}
+
+// freeAddress returns a loopback address with a port that is free now, another one at each call.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if taken[port] {
+			continue
+		}
+		taken[port] = true
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close()
+			return addr
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // newCluster places voters and fronts in the zones in turn. It starts nothing.
--- a/review/standin3/firststart.go
+++ b/review/standin3/firststart.go
@@ -14,17 +14,17 @@
 // starts it again as the platform does. The operator's first manifest must be acknowledged, and requests be served.
 func killedAtFirstStart(r *run) ([]string, error) {
 	const (
-		stagger = 150 * time.Millisecond // between the starts of the core's machines; all start within 0.3 s
+		stagger = 70 * time.Millisecond // between the starts of the core's machines; all start within 0.3 s
 		down    = 500 * time.Millisecond
 		wait    = 60 * time.Second
 	)
-	r.cluster = newCluster(r.folder, r.binary, r.rec, []zone{{"pos-a", "north-trinidad"}, {"sfdo-a", "south-trinidad"}, {"scar-a", "tobago"}}, 3, 2)
+	r.cluster = newCluster(r.folder, r.binary, r.rec, []zone{{"pos-a", "north-trinidad"}, {"sfdo-a", "south-trinidad"}, {"scar-a", "tobago"}}, 5, 2)
 	r.op = newOperator(r.rec, r.seeds)
-	for i, v := range r.voters {
+	for i, at := range []int{0, 1, 3, 4, 2} { // the last of the three seeds starts last
 		if i > 0 {
 			time.Sleep(stagger)
 		}
-		if err := r.start(v); err != nil {
+		if err := r.start(r.voters[at]); err != nil {
 			return nil, err
 		}
 	}
@@ -42,7 +42,7 @@
 			return nil, err
 		}
 	}
-	p := &replica{id: "i-0001", service: "desk", zone: "pos-a", addr: "127.0.0.1:0", slots: 6, controls: r.seeds, rec: r.rec}
+	p := &replica{id: "i-0001", service: "desk", zone: "pos-a", addr: freeAddress(), slots: 6, controls: r.seeds, rec: r.rec}
 	p.serve = func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }
 	if err := p.start("v1"); err != nil {
 		return nil, err
--- a/review/standin3/replaced.go
+++ b/review/standin3/replaced.go
@@ -42,7 +42,7 @@
 	if err := r.startAll(); err != nil {
 		return nil, err
 	}
-	p := &replica{id: "i-0001", service: "desk", zone: "pos-a", addr: "127.0.0.1:0", slots: 6, controls: live, rec: r.rec}
+	p := &replica{id: "i-0001", service: "desk", zone: "pos-a", addr: freeAddress(), slots: 6, controls: live, rec: r.rec}
 	p.serve = func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }
 	if err := p.start("v1"); err != nil {
 		return nil, err
--- a/review/standin3/versions.go
+++ b/review/standin3/versions.go
@@ -31,7 +31,7 @@
 	r.op = newOperator(r.rec, r.seeds)
 	var all []*replica
 	for i := range replicas {
-		p := &replica{id: fmt.Sprintf("i-%04d", i+1), service: "advisor", zone: "pos-a", addr: "127.0.0.1:0", slots: 48, engine: true, controls: r.seeds, rec: r.rec}
+		p := &replica{id: fmt.Sprintf("i-%04d", i+1), service: "advisor", zone: "pos-a", addr: freeAddress(), slots: 48, engine: true, controls: r.seeds, rec: r.rec}
 		p.serve = p.streamEvents(pieces, pause)
 		if err := p.start("v1"); err != nil {
 			return nil, err
