--- a/review/standin3/unshared.go
+++ b/review/standin3/unshared.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-func init() { cases[14] = reportUnshared }
+func init() { cases[12] = reportUnshared }
 
 // reportUnshared has replicas of two versions. One of the last two of v1 crashes and starts again under its id as v2; the node
 // that acknowledges its report is killed right after that. Then the other replica of v1 crashes. No answer may hold events of
@@ -164,3 +164,35 @@
 	}
 	return nil
 }
+
+// versionsOf returns the versions that wrote the events of an answer, in order.
+func versionsOf(a answer) []string {
+	var versions []string
+	for _, e := range a.events {
+		fields := strings.Fields(e.data)
+		v := fields[len(fields)-1]
+		if len(versions) == 0 || versions[len(versions)-1] != v {
+			versions = append(versions, v)
+		}
+	}
+	return versions
+}
+
+// awaitServed waits until each front has served some requests.
+func (r *run) awaitServed(path string, limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	for i, f := range r.fronts {
+		for served := 0; served < 2; {
+			a := ask(f.callers, "POST", path, fmt.Sprintf("warm%d-%d", i, time.Now().UnixNano()), promptHeaders(i), "body", 3*time.Second)
+			if a.status == 200 {
+				served++
+				continue
+			}
+			if time.Now().After(deadline) {
+				return fmt.Errorf("front %s does not serve: status %d %s %v", f.name, a.status, a.body, a.err)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return nil
+}
