--- a/review/standin3/cluster.go
+++ b/review/standin3/cluster.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -266,9 +265,3 @@
 		}
 	}
 }
-
-// logContains reports whether the log of a node contains a text.
-func (c *cluster) logContains(n *node, text string) bool {
-	data, err := os.ReadFile(filepath.Join(c.folder, n.name+".log"))
-	return err == nil && bytes.Contains(data, []byte(text))
-}
