--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -3,8 +3,8 @@
 //
 //	standin3 -case N -binary target/hickoryridge -record review/N/record.txt
 //
-// Its exit code is 0 if the rule held, 1 if it was broken and 2 if the case could not run. With TROUBLE=0 in the
-// environment, it does the same without the disruption.
+// Its exit code is 0 if the rule held, 1 if it was broken and 2 if the case could not run. With -trouble=false it does
+// the same without the disruption; the scripts pass that on from TROUBLE=0.
 package main
 
 import (
@@ -40,6 +40,7 @@
 	number := flag.Int("case", 0, "number of the case")
 	binary := flag.String("binary", "target/hickoryridge", "the project's program")
 	path := flag.String("record", "record.txt", "file for the record")
+	trouble := flag.Bool("trouble", true, "with the disruption")
 	keep := flag.Bool("keep", false, "keep the temporary folder with the logs")
 	flag.Parse()
 	f, ok := cases[*number]
@@ -62,7 +63,7 @@
 	} else {
 		defer func() { _ = os.RemoveAll(folder) }()
 	}
-	r := &run{cluster: &cluster{folder: folder, binary: *binary, rec: rec}, trouble: os.Getenv("TROUBLE") != "0", end: time.Now().Add(maxRun)}
+	r := &run{cluster: &cluster{folder: folder, binary: *binary, rec: rec}, trouble: *trouble, end: time.Now().Add(maxRun)}
 	rec.line("case %d, trouble %v", *number, r.trouble)
 	broken, err := f(r)
 	r.stop()
