--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p review/bin3
-go build -o review/bin3/standin3 ./review/standin3
+go build -o review/bin3/standin3 ./review/standin3/platform
