Revert "quorum: a leader goes on from what the one before knew of silent members"

Instances send each other structures as arrays of their fields, and an earlier version refuses an array with more of them (trial: "number of fields in array-encoded struct has changed"): while voters are upgraded one after the other, an earlier one would end its connection to the leader as soon as that has a silent member to name. What a new leader knows of silence has to come from itself.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -71,7 +71,7 @@
 	nextIndex      Index
 	ackedRound     Round // newest round that the member acknowledged
 	snapshotSentAt clock.Time
-	lastContact    clock.Time // receipt of its latest reply by this leader or an earlier one, as running time
+	lastContact    clock.Time // receipt of its latest reply, or the start of this leadership, as running time
 	askedSince     clock.Time // when this leader began to send to it, as running time
 	rejected       bool       // the member's disk lost acknowledged entries
 }
@@ -119,7 +119,6 @@
 	votes            map[ident.DiskID]bool
 	electionDeadline clock.Time // end of the current election timeout, as running time
 	leaderContact    clock.Time // receipt of the last message from a leader
-	contacts         contacts   // what the latest leader knew of the members' silence
 	followedRound    Round      // newest round of the leader that was acknowledged before its entries were synced
 	candidacies      int        // own candidacies since the last contact with a leader
 	startedAt        clock.Time
@@ -132,7 +131,6 @@
 	round           Round
 	sentRounds      []sentRound
 	nextHeartbeat   clock.Time
-	reported        []Silence // members' silence as of the newest broadcast
 	leaseExpiry     clock.Time
 	quorumSentAt    clock.Time // sending time of the newest round that a quorum acknowledged, as running time
 	reads           []pendingRead
@@ -192,8 +190,8 @@
 	MatchIndex Index
 	CaughtUp   bool
 	Rejected   bool
-	// LastContact is the receipt of its latest reply by this leader or an earlier one, as far as that is known, and otherwise
-	// the start of this leadership. It is moved on by the time for which this member was paused since.
+	// LastContact is the receipt of its latest reply, or the start of this leadership, moved on by the time for which this
+	// member was paused since.
 	LastContact clock.Time
 	// AskedSince is when this leader began to send to it, moved on in the same way.
 	AskedSince clock.Time
@@ -387,7 +385,6 @@
 	if c.role == Leader {
 		c.failReads()
 		c.leaseExpiry = 0
-		c.contacts = contacts{at: c.ran(now), silences: c.silences(now)}
 	}
 	c.role = Follower
 	c.leader = leader
--- a/quorum/follower.go
+++ b/quorum/follower.go
@@ -48,7 +48,6 @@
 	if !c.acceptLeader(now, m, a.Round) {
 		return
 	}
-	c.contacts = contacts{at: c.ran(now), leader: m.From, silences: a.Silences}
 	prev, entries := c.trimCovered(a)
 	t, ok := c.termAt(prev)
 	if !ok || (prev == a.Prev && t != a.PrevTerm) {
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -18,7 +18,6 @@
 	c.quorumSentAt = c.ran(now)
 	c.transferStarted = 0
 	c.updateProgress(now)
-	c.adoptContacts()
 	c.termStartIndex = c.lastIndex() + 1
 	c.appendAsLeader([]Entry{{Kind: EntryNone}})
 	c.broadcast(now)
@@ -74,7 +73,6 @@
 	c.round++
 	c.sentRounds = append(c.sentRounds, sentRound{round: c.round, sentAt: now, ranAt: c.ran(now)})
 	c.nextHeartbeat = now.Add(c.cfg.Timing.Heartbeat)
-	c.reported = c.silences(now)
 	for _, m := range c.members.Members {
 		if m.Disk != c.cfg.Self {
 			c.sendAppend(now, m.Disk)
@@ -107,7 +105,7 @@
 	}
 	prev := p.nextIndex - 1
 	prevTerm, _ := c.termAt(prev)
-	a := Append{Prev: prev, PrevTerm: prevTerm, Commit: c.commit, Round: c.round, Silences: c.reported}
+	a := Append{Prev: prev, PrevTerm: prevTerm, Commit: c.commit, Round: c.round}
 	if p.nextIndex-p.matchIndex <= maxInflight {
 		a.Entries = c.entriesFrom(p.nextIndex)
 		p.nextIndex += Index(len(a.Entries))
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -158,14 +158,6 @@
 	Commit   Index   `msgpack:"commit"`
 	Round    Round   `msgpack:"round"`
 	Entries  []Entry `msgpack:"entries,omitempty"`
-	// Silences are the members that have not replied for a time, for the next leader.
-	Silences []Silence `msgpack:"silences,omitempty"`
-}
-
-// Silence is the time for which a member has not replied to the leader, as running time of the leader.
-type Silence struct {
-	Disk ident.DiskID  `msgpack:"disk"`
-	For  time.Duration `msgpack:"for"`
 }
 
 // AppendAck is the reply to an Append or an InstallSnapshot.
