peer: a voter asks to join by a kind of change, not by a further field

The field Member.Learner of made the message unreadable between this version and earlier ones, in both directions (TestOptionalFieldsBetweenVersions with the case "member" fails on: other bytes, and "number of fields in array-encoded struct has changed"). A voter now asks for the change "join"; a leader of an earlier version refuses that as a bad request, and the voter asks it for "add" instead, as before (TestJoinAtEarlierLeader).

--- a/instance/joining.go
+++ b/instance/joining.go
@@ -62,12 +62,17 @@
 	})
 }
 
+// requestJoin requests to be added as a learner, or as a voter where the leader is of an earlier version.
 func (v *voter) requestJoin(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	return v.in.leader.Member(ctx, peer.Member{
-		Instance: v.in.settings.Instance, Change: peer.MemberAdd, Address: v.in.settings.Peer, Learner: true,
-	})
+	m := peer.Member{Instance: v.in.settings.Instance, Change: peer.MemberJoin, Address: v.in.settings.Peer}
+	err := v.in.leader.Member(ctx, m)
+	if !fault.Is(err, fault.BadRequest) {
+		return err
+	}
+	m.Change = peer.MemberAdd
+	return v.in.leader.Member(ctx, m)
 }
 
 // needsJoin reports whether this disk has no vote in its recorded membership or has no contact with
--- a/instance/leaderclient_test.go
+++ b/instance/leaderclient_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/hickoryridge/hickoryridge/internal/cluster/seed"
 	"github.com/hickoryridge/hickoryridge/leader"
 	"github.com/hickoryridge/hickoryridge/peer"
+	"github.com/hickoryridge/hickoryridge/settings"
 )
 
 // TestUnknownLeader checks what a client does when its voters name a leader without a connection:
@@ -153,3 +155,22 @@
 		}
 	})
 }
+
+// TestJoinAtEarlierLeader guards against a voter that can't join while the leader is of an earlier version, which does not know
+// how to add a learner.
+func TestJoinAtEarlierLeader(t *testing.T) {
+	var asked []peer.MemberChange
+	c := &leaderClient{self: "v1", voters: func() []ident.InstanceID { return []ident.InstanceID{"v1"} }}
+	c.local = func(_ context.Context, _ ident.InstanceID, b peer.Body) (peer.Body, error) {
+		m := b.(*peer.Member)
+		asked = append(asked, m.Change)
+		if m.Change == peer.MemberJoin {
+			return nil, fault.New(fault.BadRequest, "member change: want add or remove, not %q", m.Change)
+		}
+		return &peer.Done{}, nil
+	}
+	v := &voter{in: &Instance{settings: &settings.Settings{Instance: "v1"}, leader: c}}
+	if err := v.requestJoin(t.Context()); err != nil || !slices.Equal(asked, []peer.MemberChange{peer.MemberJoin, peer.MemberAdd}) {
+		t.Errorf("asked for %v, error %v", asked, err)
+	}
+}
--- a/instance/members.go
+++ b/instance/members.go
@@ -19,7 +19,7 @@
 // changeMember adds an instance's current disk and removes its earlier disks, or removes all disks of an instance.
 func (v *voter) changeMember(ctx context.Context, node *quorum.Node, m peer.Member) error {
 	switch m.Change {
-	case peer.MemberAdd:
+	case peer.MemberAdd, peer.MemberJoin:
 		if m.Address != "" {
 			v.in.network.SetPeer(m.Instance, m.Address)
 		}
@@ -27,7 +27,7 @@
 	case peer.MemberRemove:
 		return v.whileLocked(func() error { return removeDisks(ctx, node, m.Instance, "") })
 	default:
-		return fault.New(fault.BadRequest, "member change: want add or remove, not %q", m.Change)
+		return fault.New(fault.BadRequest, "member change: want add, join or remove, not %q", m.Change)
 	}
 }
 
@@ -54,7 +54,7 @@
 	if err := v.whileLocked(func() error { return addLearner(ctx, node, learner) }); err != nil {
 		return err
 	}
-	if m.Learner {
+	if m.Change == peer.MemberJoin {
 		return nil // assignVotes does the rest
 	}
 	// The requester's timeout may be shorter than the catch-up. A repeated request continues from
--- a/peer/message.go
+++ b/peer/message.go
@@ -188,6 +188,9 @@
 const (
 	MemberAdd    MemberChange = "add"    // add the instance's current disk as a voter
 	MemberRemove MemberChange = "remove" // remove all disks of the instance
+	// MemberJoin adds the instance's current disk as a learner, which gets a vote when the leader decides so. A leader of an
+	// earlier version refuses it as fault.BadRequest.
+	MemberJoin MemberChange = "join"
 )
 
 // Member requests the leader to change the membership of the quorum.
@@ -196,9 +199,6 @@
 	Change   MemberChange     `msgpack:"change"`
 	// Address is the peer address of an instance to add; empty where settings list it.
 	Address string `msgpack:"address"`
-	// Learner leaves it to the leader when the instance that is added gets a vote. Otherwise it gets one as soon as
-	// it has caught up.
-	Learner bool `msgpack:"learner,omitempty"`
 }
 
 // Done is the reply to a call without a result.
--- a/peer/optional_test.go
+++ b/peer/optional_test.go
@@ -57,6 +57,11 @@
 		Remaining     time.Duration
 		KnownEngines  int
 	}
+	earlierMember struct {
+		Instance ident.InstanceID
+		Change   MemberChange
+		Address  string
+	}
 	earlierListing struct {
 		Targets target.Listing
 	}
@@ -110,6 +115,10 @@
 		},
 		"note": {&Note{Ticket: 3, Event: NoteLoad, Running: 1, Slots: 6}, &earlierNote{3, NoteLoad, 1, 6}, &Note{Ticket: 3, Event: NoteLimited, Rate: &rate}},
 		"pace": {&Note{Ticket: 3, Event: NoteLoad, Running: 1, Slots: 6}, &earlierNote{3, NoteLoad, 1, 6}, &Note{Ticket: 3, Event: NoteLoad, Running: 1, Slots: 6, Pace: 250}},
+		"member": {
+			&Member{Instance: "i", Change: MemberAdd, Address: "a:1"}, &earlierMember{"i", MemberAdd, "a:1"},
+			&Member{Instance: "i", Change: MemberJoin, Address: "a:1"},
+		},
 		"listing": {
 			&Listing{Targets: target.Listing{Next: target.Cursor{Run: 4, Revision: 2}}}, &earlierListing{target.Listing{Next: target.Cursor{Run: 4, Revision: 2}}},
 			&Listing{Targets: target.Listing{Next: target.Cursor{Run: 4, Revision: 2}}, Wall: 1_700_000_000_000},
