instance: a voter that stops hands its vote to a successor that is there already

Cause: a stop moved the leadership and left the vote behind.

Change: after its requests have ended and the leadership has moved, a voter asks the leader to let it leave. The leader takes its disk out if a learner can vote in its place, or if the majority is smaller without it; otherwise the vote stays, as the process may be started again. It waits for a second at most. A leader of an earlier version refuses and nothing changes.

--- a/instance/joining.go
+++ b/instance/joining.go
@@ -29,6 +29,8 @@
 	// earlier version does so only when it is asked.
 	learnerInterval = 5 * time.Second
 	assignInterval  = 250 * time.Millisecond
+	// leaveTimeout is for the election of the next leader too, where the one that stops has led.
+	leaveTimeout = 1 * time.Second
 )
 
 // founders returns the voters among the seeds, sorted by ID. ok is false until every seed has
@@ -79,7 +81,7 @@
 // a leader: it may have been removed without receiving that change. interval is how often it asks then.
 func (v *voter) needsJoin() (interval time.Duration, needed bool) {
 	node := v.node.Load()
-	if node == nil {
+	if node == nil || v.in.stages.isLeaving() {
 		return 0, false
 	}
 	st := node.Status()
@@ -126,6 +128,28 @@
 	return err
 }
 
+// giveUpVote hands the vote of this instance, which stops, to another disk, if one can take it over.
+func (in *Instance) giveUpVote(ctx context.Context) {
+	if in.voter == nil || len(in.seeds()) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := in.leader.Member(ctx, peer.Member{Instance: in.settings.Instance, Change: peer.MemberLeave}); err != nil {
+		in.log.WithFields(logrus.Fields{"event": "vote_kept", "cause": err}).Info("no leader took this instance's vote; it keeps the vote while it is stopped")
+	}
+}
+
+// leave makes the changes that are due as an instance stops.
+func (v *voter) leave(ctx context.Context, node *quorum.Node, id ident.InstanceID) {
+	v.changeLock.Lock()
+	defer v.changeLock.Unlock()
+	change, ok := votes.Leave(clock.Now(), node.MemberStates(), v.disk().Disk(), id)
+	if ok && v.applyVotes(ctx, node, change) == nil {
+		v.assignDueVotes(ctx, node)
+	}
+}
+
 func removeDisk(ctx context.Context, node *quorum.Node, d ident.DiskID) error {
 	members := node.Status().Members
 	if _, ok := members.Find(d); !ok {
--- a/instance/members.go
+++ b/instance/members.go
@@ -16,7 +16,8 @@
 	catchUpInterval = 50 * time.Millisecond
 )
 
-// changeMember adds an instance's current disk and removes its earlier disks, or removes all disks of an instance.
+// changeMember adds an instance's current disk and removes its earlier disks, or removes all disks of an instance, or takes
+// the vote from one that stops.
 func (v *voter) changeMember(ctx context.Context, node *quorum.Node, m peer.Member) error {
 	switch m.Change {
 	case peer.MemberAdd, peer.MemberJoin:
@@ -26,8 +27,11 @@
 		return v.addMember(ctx, node, m)
 	case peer.MemberRemove:
 		return v.whileLocked(func() error { return removeDisks(ctx, node, m.Instance, "") })
+	case peer.MemberLeave:
+		v.leave(ctx, node, m.Instance)
+		return nil
 	default:
-		return fault.New(fault.BadRequest, "member change: want add, join or remove, not %q", m.Change)
+		return fault.New(fault.BadRequest, "member change: want add, join, remove or leave, not %q", m.Change)
 	}
 }
 
--- a/internal/cluster/votes/votes.go
+++ b/internal/cluster/votes/votes.go
@@ -49,6 +49,7 @@
 	Added      Reason = "added"      // this learner gets a vote
 	Lost       Reason = "lost"       // this disk has not replied for LostSilence or AbsentSilence
 	Superseded Reason = "superseded" // this disk's instance has another one
+	Leaves     Reason = "leaves"     // this disk's instance stops
 )
 
 // Change is a change of the membership.
@@ -76,6 +77,24 @@
 	return Change{}, false
 }
 
+// Leave returns the change that is due because an instance stops: another disk takes over its vote, or the majority is smaller
+// without it, at once or together with a voter that does not reply. Otherwise it keeps its vote, since it may be started again.
+// Its disk is no member then, lest it get a vote again before it has stopped.
+func Leave(now clock.Time, states []quorum.MemberState, self ident.DiskID, leaving ident.InstanceID) (Change, bool) {
+	v := view{now: now, states: states, self: self}
+	i := slices.IndexFunc(states, func(s quorum.MemberState) bool { return s.Member.ID == leaving && s.Member.Voter })
+	if i < 0 || v.voters() <= 1 {
+		return Change{}, false
+	}
+	leaver := states[i].Member
+	_, othersSilent := v.longestSilent(TakeoverSilence)
+	smaller := v.voters() > MinVoters && (v.voters()%2 == 0 || othersSilent)
+	if !smaller && len(v.readyLearners()) == 0 {
+		return Change{}, false
+	}
+	return v.without(leaver, Leaves), true
+}
+
 // removeLearner removes a learner that is of no use: its instance has another disk, or it is lost.
 func (v view) removeLearner() (Change, bool) {
 	for _, s := range v.states {
--- a/internal/cluster/votes/votes_test.go
+++ b/internal/cluster/votes/votes_test.go
@@ -103,6 +103,35 @@
 	}
 }
 
+// TestLeave checks which vote an instance gives up that stops.
+func TestLeave(t *testing.T) {
+	for name, test := range map[string]struct {
+		members []member // the first is the leader, the second leaves
+		want    bool
+	}{
+		"one of three":                    {[]member{{}, {}, {}}, false},
+		"one of three, a learner waits":   {[]member{{}, {}, {}, {learner: true}}, true},
+		"one of three, a learner lags":    {[]member{{}, {}, {}, {learner: true, lags: true}}, false},
+		"one of four":                     {[]member{{}, {}, {}, {}}, true},
+		"one of five":                     {[]member{{}, {}, {}, {}, {}}, false},
+		"one of five, another has ended":  {[]member{{}, {}, {}, {}, {silent: TakeoverSilence}}, true},
+		"one of two":                      {[]member{{}, {}}, false},
+		"one of two, a learner waits":     {[]member{{}, {}, {learner: true}}, true},
+		"a learner":                       {[]member{{}, {learner: true}, {}, {}}, false},
+		"one of three, another has ended": {[]member{{}, {}, {silent: time.Minute}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			change, ok := Leave(now, statesOf(test.members), "d0", "i1")
+			if ok != test.want {
+				t.Fatalf("%v %+v, want %v", ok, change, test.want)
+			}
+			if _, member := change.Members.Find("d1"); ok && member {
+				t.Errorf("still a member: %+v", change.Members)
+			}
+		})
+	}
+}
+
 // TestMajorityIsBorne draws memberships of which a majority replies, and makes the changes that are due until there are none.
 // Each changes one vote at most, and after each a majority of the votes still replies. In the end, no vote is silent that a
 // learner could have taken over.
--- a/peer/message.go
+++ b/peer/message.go
@@ -191,6 +191,9 @@
 	// MemberJoin adds the instance's current disk as a learner, which gets a vote when the leader decides so. A leader of an
 	// earlier version refuses it as fault.BadRequest.
 	MemberJoin MemberChange = "join"
+	// MemberLeave hands the vote of an instance that stops to another disk, if one can take it over. A leader of an earlier
+	// version refuses it.
+	MemberLeave MemberChange = "leave"
 )
 
 // Member requests the leader to change the membership of the quorum.
