votes: a new leader goes on from when its connection to a member ended

Cause: a member's latest contact is set to the start of each leadership, so that its silence is counted anew.

Change: every voter keeps a connection to every member. For a member that has not replied to this leader, votes counts its silence from the end of the connection to it, if there is none; and it still takes no member for silent that the leader has not asked for a second. A process that is stopped keeps its connections, so its silence begins with the leadership, as before.

TestSilenceOutlivesLeader: without the adjustment the case "gone before the leadership began" fails.

--- a/instance/joining.go
+++ b/instance/joining.go
@@ -111,13 +111,18 @@
 // assignDueVotes makes the changes of the membership that are due, one at a time. The caller holds changeLock.
 func (v *voter) assignDueVotes(ctx context.Context, node *quorum.Node) {
 	for ctx.Err() == nil {
-		change, ok := votes.Next(clock.Now(), node.MemberStates(), v.disk().Disk())
+		change, ok := votes.Next(clock.Now(), v.memberStates(node), v.disk().Disk())
 		if !ok || v.applyVotes(ctx, node, change) != nil {
 			return
 		}
 	}
 }
 
+// memberStates returns the leader's view of the members, with what this instance knew of their silence before it led.
+func (v *voter) memberStates(node *quorum.Node) []quorum.MemberState {
+	return votes.WithLinks(node.MemberStates(), v.in.network.DownSince)
+}
+
 func (v *voter) applyVotes(ctx context.Context, node *quorum.Node, change votes.Change) error {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
@@ -144,7 +149,7 @@
 func (v *voter) leave(ctx context.Context, node *quorum.Node, id ident.InstanceID) {
 	v.changeLock.Lock()
 	defer v.changeLock.Unlock()
-	change, ok := votes.Leave(clock.Now(), node.MemberStates(), v.disk().Disk(), id)
+	change, ok := votes.Leave(clock.Now(), v.memberStates(node), v.disk().Disk(), id)
 	if ok && v.applyVotes(ctx, node, change) == nil {
 		v.assignDueVotes(ctx, node)
 	}
--- a/internal/cluster/votes/votes.go
+++ b/internal/cluster/votes/votes.go
@@ -11,7 +11,7 @@
 //     majority would be as large without it. It may be paused or cut off. Two of them lose it once they have been silent for
 //     longer than a pause or a cut of some seconds takes, as the majority is smaller without both.
 //
-// Nothing is decided by one member's silence alone until this leader has asked it: see silent.
+// A member's silence is that towards this leader, and, until it has replied, towards its instance before it led: see WithLinks.
 package votes
 
 import (
@@ -201,8 +201,8 @@
 	return longest, found
 }
 
-// silent reports whether a member has not replied for d or longer. What earlier leaders knew of it counts, but only once
-// this leader has asked it: it may have been out of their reach and is within that of this one.
+// silent reports whether a member has not replied for d or longer. What was known of it before this leadership counts, but
+// only once the leader has asked it for a time.
 func (v view) silent(s quorum.MemberState, d time.Duration) bool {
 	return s.Member.Disk != v.self && v.now.Sub(s.LastContact) >= d && v.now.Sub(s.AskedSince) >= minAsked
 }
@@ -231,3 +231,20 @@
 	m.Voter = vote
 	return Change{Members: v.members().With(m), Disk: m.Disk, Reason: r}
 }
+
+// WithLinks returns states in which a member that has not replied to this leader yet is silent since the connection to it
+// ended, if that was earlier. Otherwise its silence would be counted anew by each leader, and a member that is gone might
+// never count as lost where leaders are replaced too. downSince returns since when there is no connection to an
+// instance; ok is false if there is one.
+func WithLinks(states []quorum.MemberState, downSince func(ident.InstanceID) (since clock.Time, ok bool)) []quorum.MemberState {
+	adjusted := slices.Clone(states)
+	for i, s := range adjusted {
+		if s.LastContact > s.AskedSince {
+			continue // it has replied
+		}
+		if since, ok := downSince(s.Member.ID); ok {
+			adjusted[i].LastContact = min(s.LastContact, since)
+		}
+	}
+	return adjusted
+}
--- a/internal/cluster/votes/votes_test.go
+++ b/internal/cluster/votes/votes_test.go
@@ -132,6 +132,35 @@
 	}
 }
 
+// TestSilenceOutlivesLeader guards against a member that is gone and never counts as lost, because each new leader counts its
+// silence anew.
+func TestSilenceOutlivesLeader(t *testing.T) {
+	began := now.Add(-minAsked) // of this leadership
+	for name, test := range map[string]struct {
+		replied bool          // to this leader
+		down    time.Duration // for which there is no connection; 0 if there is one
+		want    bool          // whether a learner takes over the vote
+	}{
+		"gone before the leadership began": {false, TakeoverSilence, true},
+		"gone a moment before":             {false, minAsked + time.Millisecond, false},
+		"connected, has not replied":       {false, 0, false},
+		"has replied since":                {true, time.Minute, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			states := statesOf([]member{{}, {}, {asked: minAsked, silent: minAsked}, {learner: true}})
+			if test.replied {
+				states[2].LastContact = began.Add(time.Millisecond)
+			}
+			states = WithLinks(states, func(id ident.InstanceID) (clock.Time, bool) {
+				return now.Add(-test.down), test.down > 0 && id == states[2].Member.ID
+			})
+			if change, ok := Next(now, states, "d0"); ok != test.want {
+				t.Errorf("%v %+v, want %v", ok, change, test.want)
+			}
+		})
+	}
+}
+
 // TestMajorityIsBorne draws memberships of which a majority replies, and makes the changes that are due until there are none.
 // Each changes one vote at most, and after each a majority of the votes still replies. In the end, no vote is silent that a
 // learner could have taken over.
--- a/peer/connect_test.go
+++ b/peer/connect_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/net/tcp"
 	"github.com/hickoryridge/hickoryridge/internal/task"
 )
@@ -329,3 +330,28 @@
 		t.Errorf("%d connections counted after all were closed", got)
 	}
 }
+
+// TestDownSince checks the time since which there is no connection to a peer.
+func TestDownSince(t *testing.T) {
+	began := clock.Now()
+	p := newPair(t, nil)
+	await := func(up bool) clock.Time {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if since, down := p.near.DownSince("far"); down != up {
+				return since
+			}
+		}
+		t.Fatalf("timed out waiting for a connection to be %v", up)
+		return 0
+	}
+	await(true)
+	ended := clock.Now()
+	p.stop()
+	if since := await(false); since < ended || since > clock.Now() {
+		t.Errorf("down since %v, want between %v and now", since.Sub(began), ended.Sub(began))
+	}
+	if _, down := p.near.DownSince("nobody"); down {
+		t.Error("an unknown instance is reported as down")
+	}
+}
--- a/peer/network.go
+++ b/peer/network.go
@@ -13,6 +13,7 @@
 
 	"github.com/hickoryridge/hickoryridge/fault"
 	"github.com/hickoryridge/hickoryridge/ident"
+	"github.com/hickoryridge/hickoryridge/internal/clock"
 	"github.com/hickoryridge/hickoryridge/internal/net/tcp"
 	"github.com/hickoryridge/hickoryridge/internal/queue"
 	"github.com/hickoryridge/hickoryridge/internal/task"
@@ -74,7 +75,7 @@
 
 func newLink(n *Network, id ident.InstanceID, addr string) *link {
 	return &link{
-		n: n, peer: id, addr: addr, stop: func() {},
+		n: n, peer: id, addr: addr, stop: func() {}, downSince: clock.Now(),
 		out:     queue.New[[]byte]("peer "+string(id), sendQueueSize),
 		pending: map[uint64]chan Envelope{},
 	}
@@ -130,6 +131,17 @@
 	return l.connected
 }
 
+// DownSince returns the time since which there has been no connection to a peer. ok is false if there is one, or no such peer.
+func (n *Network) DownSince(id ident.InstanceID) (since clock.Time, ok bool) {
+	l := n.link(id)
+	if l == nil {
+		return 0, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.downSince, !l.connected
+}
+
 func (n *Network) link(id ident.InstanceID) *link {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
@@ -194,6 +206,7 @@
 	mu        sync.Mutex
 	nextID    uint64
 	connected bool
+	downSince clock.Time // end of the latest connection, or the time at which the link was made
 	pending   map[uint64]chan Envelope
 }
 
@@ -258,6 +271,7 @@
 	if up {
 		return
 	}
+	l.downSince = clock.Now()
 	for id, c := range l.pending {
 		close(c)
 		delete(l.pending, id)
