votes: a successor gets its vote before the voter that stops gives up its own

While a voter stops it still replies, so the learner that takes its place can vote first: between the two changes the quorum bears a loss, where before it needed all that were left. A voter of two leaves too, since the other one can then go on alone; before, a sole machine that was replaced as planned left a quorum of two with one that had ended.

`member_lost` is logged again where a member is removed without a successor: operators match on it.

--- a/instance/joining.go
+++ b/instance/joining.go
@@ -127,8 +127,13 @@
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	err := node.ChangeMembers(ctx, change.Members)
+	event := "votes"
+	if change.Reason == votes.Lost {
+		event = "member_lost"
+	}
 	v.in.log.WithFields(logrus.Fields{
-		"event": "votes", "disk": change.Disk, "reason": change.Reason, "voters": change.Members.Voters(), "cause": err,
+		"event": event, "member": change.Member.ID, "disk": change.Member.Disk, "reason": change.Reason,
+		"voters": change.Members.Voters(), "cause": err,
 	}).Info("the leader changed who votes")
 	return err
 }
@@ -149,9 +154,11 @@
 func (v *voter) leave(ctx context.Context, node *quorum.Node, id ident.InstanceID) {
 	v.changeLock.Lock()
 	defer v.changeLock.Unlock()
-	change, ok := votes.Leave(clock.Now(), v.memberStates(node), v.disk().Disk(), id)
-	if ok && v.applyVotes(ctx, node, change) == nil {
-		v.assignDueVotes(ctx, node)
+	for ctx.Err() == nil {
+		change, ok := votes.Leave(clock.Now(), v.memberStates(node), v.disk().Disk(), id)
+		if !ok || v.applyVotes(ctx, node, change) != nil {
+			return
+		}
 	}
 }
 
--- a/internal/cluster/votes/votes.go
+++ b/internal/cluster/votes/votes.go
@@ -55,7 +55,7 @@
 // Change is a change of the membership.
 type Change struct {
 	Members quorum.Membership // the new membership
-	Disk    ident.DiskID      // the disk that is concerned
+	Member  quorum.Member     // the member that is concerned
 	Reason  Reason
 }
 
@@ -77,22 +77,26 @@
 	return Change{}, false
 }
 
-// Leave returns the change that is due because an instance stops: another disk takes over its vote, or the majority is smaller
-// without it, at once or together with a voter that does not reply. Otherwise it keeps its vote, since it may be started again.
-// Its disk is no member then, lest it get a vote again before it has stopped.
+// Leave returns the next change that is due because an instance stops: first a learner that can vote gets a vote, while the one
+// that leaves still has its own. Then that is taken out, as the majority is smaller without it, at once or together with a voter
+// that does not reply; a learner could get its vote again before it has stopped. Otherwise it keeps its vote, since it may be
+// started again.
 func Leave(now clock.Time, states []quorum.MemberState, self ident.DiskID, leaving ident.InstanceID) (Change, bool) {
 	v := view{now: now, states: states, self: self}
 	i := slices.IndexFunc(states, func(s quorum.MemberState) bool { return s.Member.ID == leaving && s.Member.Voter })
 	if i < 0 || v.voters() <= 1 {
 		return Change{}, false
 	}
-	leaver := states[i].Member
-	_, othersSilent := v.longestSilent(TakeoverSilence)
-	smaller := v.voters() > MinVoters && (v.voters()%2 == 0 || othersSilent)
-	if !smaller && len(v.readyLearners()) == 0 {
-		return Change{}, false
+	if v.voters()%2 == 0 {
+		return v.without(states[i].Member, Leaves), true
+	}
+	if ready := v.readyLearners(); len(ready) > 0 {
+		return v.withVote(ready[0], true, Added), true
 	}
-	return v.without(leaver, Leaves), true
+	if _, silent := v.longestSilent(TakeoverSilence); silent && v.voters() > MinVoters {
+		return v.without(states[i].Member, Leaves), true
+	}
+	return Change{}, false
 }
 
 // removeLearner removes a learner that is of no use: its instance has another disk, or it is lost.
@@ -224,12 +228,12 @@
 }
 
 func (v view) without(m quorum.Member, r Reason) Change {
-	return Change{Members: v.members().Without(m.Disk), Disk: m.Disk, Reason: r}
+	return Change{Members: v.members().Without(m.Disk), Member: m, Reason: r}
 }
 
 func (v view) withVote(m quorum.Member, vote bool, r Reason) Change {
 	m.Voter = vote
-	return Change{Members: v.members().With(m), Disk: m.Disk, Reason: r}
+	return Change{Members: v.members().With(m), Member: m, Reason: r}
 }
 
 // WithLinks returns states in which a member that has not replied to this leader yet is silent since the connection to it
