votes: a voter that stops keeps its vote where the others could not commit without it

Found by reading: of five voters two are gone and a third stops. Taken out, it left four votes of which two reply, and the change itself could never be committed; the voter would not have been one when it was back, and the quorum would have needed the two that are gone. Kept, three of five vote again as soon as it is started.

Change: Leave takes a voter out only where a majority of the votes that remain replies. TestLeave, "one of five, two others have", fails before; it also checks this after every change now.

--- a/internal/cluster/votes/votes.go
+++ b/internal/cluster/votes/votes.go
@@ -80,23 +80,32 @@
 // Leave returns the next change that is due because an instance stops: first a learner that can vote gets a vote, while the one
 // that leaves still has its own. Then that is taken out, as the majority is smaller without it, at once or together with a voter
 // that does not reply; a learner could get its vote again before it has stopped. Otherwise it keeps its vote, since it may be
-// started again.
+// started again: it keeps it too where the others could not commit without it.
 func Leave(now clock.Time, states []quorum.MemberState, self ident.DiskID, leaving ident.InstanceID) (Change, bool) {
 	v := view{now: now, states: states, self: self}
 	i := slices.IndexFunc(states, func(s quorum.MemberState) bool { return s.Member.ID == leaving && s.Member.Voter })
 	if i < 0 || v.voters() <= 1 {
 		return Change{}, false
 	}
-	if v.voters()%2 == 0 {
-		return v.without(states[i].Member, Leaves), true
-	}
-	if ready := v.readyLearners(); len(ready) > 0 {
+	if ready := v.readyLearners(); len(ready) > 0 && v.voters()%2 == 1 {
 		return v.withVote(ready[0], true, Added), true
 	}
-	if _, silent := v.longestSilent(TakeoverSilence); silent && v.voters() > MinVoters {
-		return v.without(states[i].Member, Leaves), true
+	_, othersSilent := v.longestSilent(TakeoverSilence)
+	smaller := v.voters()%2 == 0 || othersSilent && v.voters() > MinVoters
+	change := v.without(states[i].Member, Leaves)
+	return change, smaller && v.majorityReplies(change.Members)
+}
+
+// majorityReplies reports whether a majority of the votes of a membership replies.
+func (v view) majorityReplies(m quorum.Membership) bool {
+	replying := 0
+	for _, s := range v.states {
+		member, ok := m.Find(s.Member.Disk)
+		if ok && member.Voter && (s.Member.Disk == v.self || v.now.Sub(s.LastContact) < ReadySilence) {
+			replying++
+		}
 	}
-	return Change{}, false
+	return replying > m.Voters()/2
 }
 
 // removeLearner removes a learner that is of no use: its instance has another disk, or it is lost.
--- a/internal/cluster/votes/votes_test.go
+++ b/internal/cluster/votes/votes_test.go
@@ -116,6 +116,7 @@
 		"one of five":                     {[]member{{}, {}, {}, {}, {}}, ""},
 		"one of five, a learner waits":    {[]member{{}, {}, {}, {}, {}, {learner: true}}, "d5 added, d1 leaves, "},
 		"one of five, another has ended":  {[]member{{}, {}, {}, {}, {silent: TakeoverSilence}}, "d1 leaves, "},
+		"one of five, two others have":    {[]member{{}, {}, {}, {silent: TakeoverSilence}, {silent: TakeoverSilence}}, ""},
 		"one of two":                      {[]member{{}, {}}, "d1 leaves, "},
 		"a learner":                       {[]member{{}, {learner: true}, {}, {}}, ""},
 		"one of three, another has ended": {[]member{{}, {}, {silent: time.Minute}}, ""},
@@ -127,6 +128,9 @@
 				if !ok {
 					break
 				}
+				if !majorityReplies(after(states, change.Members)) {
+					t.Errorf("after %s of %s no majority replies", change.Reason, change.Member.Disk)
+				}
 				got += fmt.Sprint(change.Member.Disk, " ", change.Reason, ", ")
 				states = after(states, change.Members)
 			}
