--- a/instance/members.go
+++ b/instance/members.go
@@ -124,3 +124,11 @@
 		}
 	}
 }
+
+func removeDisk(ctx context.Context, node *quorum.Node, d ident.DiskID) error {
+	members := node.Status().Members
+	if _, ok := members.Find(d); !ok {
+		return fault.New(fault.NotFound, "disk %s is not a member of the quorum", d)
+	}
+	return node.ChangeMembers(ctx, members.Without(d))
+}
