votes: the membership counts its votes, one filter finds silent voters; no change of behaviour

view.voters counted what quorum.Membership.Voters counts, silentVoters and longestSilent had the same loop, and the test for a recent reply stood twice. takeOver asked whether there is more than one vote: with one, nobody else is silent or superseded. What only the package uses is no longer exported.

--- a/internal/cluster/votes/view.go
+++ b/internal/cluster/votes/view.go
@@ -1,6 +1,7 @@
 package votes
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,32 +17,24 @@
 	self   ident.DiskID
 }
 
-func (v view) voters() int {
-	n := 0
-	for _, s := range v.states {
-		if s.Member.Voter {
-			n++
-		}
-	}
-	return n
-}
+func (v view) voters() int { return v.members().Voters() }
 
-// silentVoters returns the number of voters that have not replied for d or longer.
-func (v view) silentVoters(d time.Duration) int {
-	n := 0
+// silentVoters returns the voters that have not replied for d or longer.
+func (v view) silentVoters(d time.Duration) []quorum.MemberState {
+	var silent []quorum.MemberState
 	for _, s := range v.states {
 		if s.Member.Voter && v.silent(s, d) {
-			n++
+			silent = append(silent, s)
 		}
 	}
-	return n
+	return silent
 }
 
 // readyLearners returns the learners that can vote.
 func (v view) readyLearners() []quorum.Member {
 	var ready []quorum.Member
 	for _, s := range v.states {
-		if !s.Member.Voter && s.CaughtUp && !s.Rejected && v.now.Sub(s.LastContact) < ReadySilence && !v.superseded(s) {
+		if !s.Member.Voter && s.CaughtUp && !s.Rejected && v.replies(s) && !v.superseded(s) {
 			ready = append(ready, s.Member)
 		}
 	}
@@ -50,17 +43,16 @@
 
 // longestSilent returns the voter that has not replied for the longest time, if that is at least d.
 func (v view) longestSilent(d time.Duration) (quorum.MemberState, bool) {
-	var longest quorum.MemberState
-	found := false
-	for _, s := range v.states {
-		if !s.Member.Voter || !v.silent(s, d) || found && s.LastContact >= longest.LastContact {
-			continue
-		}
-		longest, found = s, true
+	silent := v.silentVoters(d)
+	if len(silent) == 0 {
+		return quorum.MemberState{}, false
 	}
-	return longest, found
+	return slices.MinFunc(silent, func(a, b quorum.MemberState) int { return cmp.Compare(a.LastContact, b.LastContact) }), true
 }
 
+// replies reports whether a member has replied lately.
+func (v view) replies(s quorum.MemberState) bool { return v.now.Sub(s.LastContact) < readySilence }
+
 // silent reports whether a member has not replied for d or longer. What was known of it before this leadership counts, but
 // only once the leader has asked it for a time.
 func (v view) silent(s quorum.MemberState, d time.Duration) bool {
@@ -97,7 +89,7 @@
 	replying := 0
 	for _, s := range v.states {
 		member, ok := m.Find(s.Member.Disk)
-		if ok && member.Voter && (s.Member.Disk == v.self || v.now.Sub(s.LastContact) < ReadySilence) {
+		if ok && member.Voter && (s.Member.Disk == v.self || v.replies(s)) {
 			replying++
 		}
 	}
--- a/internal/cluster/votes/votes.go
+++ b/internal/cluster/votes/votes.go
@@ -24,20 +24,20 @@
 )
 
 const (
-	// ReadySilence is the longest time since its latest reply with which a learner counts as able to vote.
-	ReadySilence = 1 * time.Second
-	// TakeoverSilence is the time without a reply after which a learner takes over a voter's vote. The vote is not lost if
+	// readySilence is the longest time since its latest reply with which a learner counts as able to vote.
+	readySilence = 1 * time.Second
+	// takeoverSilence is the time without a reply after which a learner takes over a voter's vote. The vote is not lost if
 	// the voter was only paused: it can take over a vote in its turn. A process that is started again replies earlier.
-	TakeoverSilence = 2 * time.Second
-	// LostSilence is the time without a reply after which a member counts as lost though no learner takes its place: a learner,
+	takeoverSilence = 2 * time.Second
+	// lostSilence is the time without a reply after which a member counts as lost though no learner takes its place: a learner,
 	// or a voter whose vote only makes the majority larger.
-	LostSilence = 8 * time.Second
-	// AbsentSilence is the same for two voters, which bear a loss together.
-	AbsentSilence = 30 * time.Second
+	lostSilence = 8 * time.Second
+	// absentSilence is the same for two voters, which bear a loss together.
+	absentSilence = 30 * time.Second
 	// minAsked is the time for which a leader has sent to a member before it takes the member for silent.
 	minAsked = 1 * time.Second
-	// MinVoters is the number of voters below which every learner gets a vote, and which keep it even if they do not reply.
-	MinVoters = 3
+	// minVoters is the number of voters below which every learner gets a vote, and which keep it even if they do not reply.
+	minVoters = 3
 )
 
 // Reason is why a membership changes.
@@ -47,7 +47,7 @@
 const (
 	TakenOver  Reason = "taken over" // a learner is about to vote in place of this disk
 	Added      Reason = "added"      // this learner gets a vote
-	Lost       Reason = "lost"       // this disk has not replied for LostSilence or AbsentSilence
+	Lost       Reason = "lost"       // this disk has not replied for lostSilence or absentSilence
 	Superseded Reason = "superseded" // this disk's instance has another one
 	Leaves     Reason = "leaves"     // this disk's instance stops
 )
@@ -83,8 +83,8 @@
 	if ready := v.readyLearners(); len(ready) > 0 && v.voters()%2 == 1 {
 		return v.withVote(ready[0], true, Added), true
 	}
-	_, othersSilent := v.longestSilent(TakeoverSilence)
-	smaller := v.voters()%2 == 0 || othersSilent && v.voters() > MinVoters
+	_, othersSilent := v.longestSilent(takeoverSilence)
+	smaller := v.voters()%2 == 0 || othersSilent && v.voters() > minVoters
 	change := v.without(states[i].Member, Leaves)
 	return change, smaller && v.majorityReplies(change.Members)
 }
@@ -96,7 +96,7 @@
 		case s.Member.Voter:
 		case v.superseded(s):
 			return v.without(s.Member, Superseded), true
-		case v.silent(s, LostSilence):
+		case v.silent(s, lostSilence):
 			return v.without(s.Member, Lost), true
 		}
 	}
@@ -105,7 +105,7 @@
 
 // takeOver takes the vote from a voter that does not reply while a learner can vote. addToEven gives it to the learner.
 func (v view) takeOver() (Change, bool) {
-	if len(v.readyLearners()) == 0 || v.voters() <= 1 {
+	if len(v.readyLearners()) == 0 {
 		return Change{}, false
 	}
 	for _, s := range v.states {
@@ -113,7 +113,7 @@
 			return v.withVote(s.Member, false, Superseded), true
 		}
 	}
-	if s, ok := v.longestSilent(TakeoverSilence); ok {
+	if s, ok := v.longestSilent(takeoverSilence); ok {
 		return v.withVote(s.Member, false, TakenOver), true
 	}
 	return Change{}, false
@@ -122,7 +122,7 @@
 // addToEven gives a vote to a learner that can vote while the number of votes is even, or small: majorities stay as large as they are.
 func (v view) addToEven() (Change, bool) {
 	ready := v.readyLearners()
-	if n := v.voters(); len(ready) == 0 || n >= MinVoters && n%2 == 1 {
+	if n := v.voters(); len(ready) == 0 || n >= minVoters && n%2 == 1 {
 		return Change{}, false
 	}
 	return v.withVote(ready[0], true, Added), true
@@ -140,10 +140,10 @@
 // removeLost removes a voter that is lost, if the majority is smaller without it, or without it and another one.
 func (v view) removeLost() (Change, bool) {
 	n := v.voters()
-	if n <= MinVoters || n%2 == 1 && v.silentVoters(AbsentSilence) < 2 {
+	if n <= minVoters || n%2 == 1 && len(v.silentVoters(absentSilence)) < 2 {
 		return Change{}, false
 	}
-	s, ok := v.longestSilent(LostSilence)
+	s, ok := v.longestSilent(lostSilence)
 	if !ok {
 		return Change{}, false
 	}
--- a/internal/cluster/votes/votes_test.go
+++ b/internal/cluster/votes/votes_test.go
@@ -46,17 +46,17 @@
 
 // TestNext checks which change is due.
 func TestNext(t *testing.T) {
-	const brief, long = TakeoverSilence - time.Millisecond, LostSilence
+	const brief, long = takeoverSilence - time.Millisecond, lostSilence
 	for name, test := range map[string]struct {
 		members []member // the first is the leader
 		want    string   // disk and reason; empty if no change is due
 	}{
 		"all reply": {[]member{{}, {}, {}}, ""},
 
-		"learner takes over":                {[]member{{}, {}, {silent: TakeoverSilence}, {learner: true}}, "d2 taken over"},
-		"then it votes":                     {[]member{{}, {}, {learner: true, silent: TakeoverSilence}, {learner: true}}, "d3 added"},
-		"learner lags":                      {[]member{{}, {}, {silent: TakeoverSilence}, {learner: true, lags: true}}, ""},
-		"learner is silent":                 {[]member{{}, {}, {silent: TakeoverSilence}, {learner: true, silent: ReadySilence}}, ""},
+		"learner takes over":                {[]member{{}, {}, {silent: takeoverSilence}, {learner: true}}, "d2 taken over"},
+		"then it votes":                     {[]member{{}, {}, {learner: true, silent: takeoverSilence}, {learner: true}}, "d3 added"},
+		"learner lags":                      {[]member{{}, {}, {silent: takeoverSilence}, {learner: true, lags: true}}, ""},
+		"learner is silent":                 {[]member{{}, {}, {silent: takeoverSilence}, {learner: true, silent: readySilence}}, ""},
 		"voter is silent for a moment":      {[]member{{}, {}, {silent: brief}, {learner: true}}, ""},
 		"the leader has just begun":         {[]member{{}, {}, {silent: time.Minute, asked: minAsked - 1}, {learner: true}}, ""},
 		"of two silent ones the longer":     {[]member{{}, {}, {}, {silent: 3 * time.Second}, {silent: 4 * time.Second}, {learner: true}}, "d4 taken over"},
@@ -69,7 +69,7 @@
 		"two, of which one lags":     {[]member{{}, {}, {}, {learner: true}, {learner: true, lags: true}}, ""},
 		"below the least number":     {[]member{{}, {learner: true}}, "d1 added"},
 		"a lost learner":             {[]member{{}, {}, {}, {learner: true, silent: long}}, "d3 lost"},
-		"a learner silent for 2 s":   {[]member{{}, {}, {}, {learner: true, silent: TakeoverSilence}}, ""},
+		"a learner silent for 2 s":   {[]member{{}, {}, {}, {learner: true, silent: takeoverSilence}}, ""},
 		"the only voter and learner": {[]member{{}}, ""},
 
 		"a lost disk, its successor lags":   {[]member{{}, {}, {silent: brief}, {id: "i2", learner: true, lags: true}}, ""},
@@ -85,10 +85,10 @@
 		"one of four, not long enough":    {[]member{{}, {}, {silent: long - 1}, {}}, ""},
 		"two of four silent":              {[]member{{}, {silent: long}, {silent: long}, {}}, "d1 lost"},
 		"two of five paused or cut off":   {[]member{{}, {}, {}, {silent: 15 * time.Second}, {silent: 15 * time.Second}}, ""},
-		"two of five absent":              {[]member{{}, {}, {}, {silent: AbsentSilence}, {silent: AbsentSilence}}, "d3 lost"},
-		"the second of the two":           {[]member{{}, {}, {}, {silent: AbsentSilence}}, "d3 lost"},
+		"two of five absent":              {[]member{{}, {}, {}, {silent: absentSilence}, {silent: absentSilence}}, "d3 lost"},
+		"the second of the two":           {[]member{{}, {}, {}, {silent: absentSilence}}, "d3 lost"},
 		"two of three absent":             {[]member{{}, {silent: time.Hour}, {silent: time.Hour}}, ""},
-		"one of five absent, one in part": {[]member{{}, {}, {}, {silent: AbsentSilence}, {silent: long}}, ""},
+		"one of five absent, one in part": {[]member{{}, {}, {}, {silent: absentSilence}, {silent: long}}, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			change, ok := Next(now, statesOf(test.members), "d0")
@@ -115,8 +115,8 @@
 		"one of four":                     {[]member{{}, {}, {}, {}}, "d1 leaves, "},
 		"one of five":                     {[]member{{}, {}, {}, {}, {}}, ""},
 		"one of five, a learner waits":    {[]member{{}, {}, {}, {}, {}, {learner: true}}, "d5 added, d1 leaves, "},
-		"one of five, another has ended":  {[]member{{}, {}, {}, {}, {silent: TakeoverSilence}}, "d1 leaves, "},
-		"one of five, two others have":    {[]member{{}, {}, {}, {silent: TakeoverSilence}, {silent: TakeoverSilence}}, ""},
+		"one of five, another has ended":  {[]member{{}, {}, {}, {}, {silent: takeoverSilence}}, "d1 leaves, "},
+		"one of five, two others have":    {[]member{{}, {}, {}, {silent: takeoverSilence}, {silent: takeoverSilence}}, ""},
 		"one of two":                      {[]member{{}, {}}, "d1 leaves, "},
 		"a learner":                       {[]member{{}, {learner: true}, {}, {}}, ""},
 		"one of three, another has ended": {[]member{{}, {}, {silent: time.Minute}}, ""},
@@ -155,7 +155,7 @@
 		down    time.Duration // for which there is no connection; 0 if there is one
 		want    bool          // whether a learner takes over the vote
 	}{
-		"gone before the leadership began": {false, TakeoverSilence, true},
+		"gone before the leadership began": {false, takeoverSilence, true},
 		"gone a moment before":             {false, minAsked + time.Millisecond, false},
 		"connected, has not replied":       {false, 0, false},
 		"has replied since":                {true, time.Minute, false},
@@ -179,7 +179,7 @@
 // Each changes one vote at most, and after each a majority of the votes still replies. In the end, no vote is silent that a
 // learner could have taken over.
 func TestMajorityIsBorne(t *testing.T) {
-	silences := []time.Duration{0, 0, 0, 0, TakeoverSilence, LostSilence, AbsentSilence}
+	silences := []time.Duration{0, 0, 0, 0, takeoverSilence, lostSilence, absentSilence}
 	randtest.Each(t, 20_000, func(seed uint64) error {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		members := []member{{}}
@@ -216,7 +216,7 @@
 // checkSettled checks memberships to which no change is due.
 func checkSettled(states []quorum.MemberState) error {
 	v := view{now: now, states: states, self: "d0"}
-	if ready := len(v.readyLearners()); v.silentVoters(TakeoverSilence) > 0 && ready > 0 || ready > 1 {
+	if ready := len(v.readyLearners()); len(v.silentVoters(takeoverSilence)) > 0 && ready > 0 || ready > 1 {
 		return fmt.Errorf("a learner could vote: %+v", states)
 	}
 	return nil
@@ -227,7 +227,7 @@
 	for _, s := range states {
 		if s.Member.Voter {
 			n++
-			if now.Sub(s.LastContact) < ReadySilence {
+			if now.Sub(s.LastContact) < readySilence {
 				replying++
 			}
 		}
