--- a/instance/stop.go
+++ b/instance/stop.go
@@ -21,7 +21,8 @@
 //	          refused as not run.
 //	closed    new requests are refused as not run. Idle connections end; see package http1 in internal/caller.
 //	          Those in progress, their receipts and connections carried for others go on. Then the leadership
-//	          is handed over, and the vote in the quorum if another disk can take it over. What has not ended shortly before the stop timeout is aborted and answered.
+//	          is handed over, and the vote in the quorum if another disk can take it over. What has not ended
+//	          shortly before the stop timeout is aborted and answered.
 //	gone      nothing is in progress. Listeners and connections end, then the process.
 
 const (
--- a/instance/voting.go
+++ b/instance/voting.go
@@ -33,14 +33,17 @@
 			return // another instance leads, or a change is in progress
 		}
 		defer v.changeLock.Unlock()
-		v.assignDueVotes(ctx, node)
+		v.makeChanges(ctx, node, votes.Next)
 	})
 }
 
-// assignDueVotes makes the changes of the membership that are due, one at a time. The caller holds changeLock.
-func (v *voter) assignDueVotes(ctx context.Context, node *quorum.Node) {
+// decision returns the change of the membership that is due, if there is one.
+type decision func(now clock.Time, states []quorum.MemberState, self ident.DiskID) (votes.Change, bool)
+
+// makeChanges makes the changes that are due, one at a time, until there are none. The caller holds changeLock.
+func (v *voter) makeChanges(ctx context.Context, node *quorum.Node, due decision) {
 	for ctx.Err() == nil {
-		change, ok := votes.Next(clock.Now(), v.memberStates(node), v.disk().Disk())
+		change, ok := due(clock.Now(), v.memberStates(node), v.disk().Disk())
 		if !ok || v.applyVotes(ctx, node, change) != nil {
 			return
 		}
@@ -83,10 +86,7 @@
 func (v *voter) leave(ctx context.Context, node *quorum.Node, id ident.InstanceID) {
 	v.changeLock.Lock()
 	defer v.changeLock.Unlock()
-	for ctx.Err() == nil {
-		change, ok := votes.Leave(clock.Now(), v.memberStates(node), v.disk().Disk(), id)
-		if !ok || v.applyVotes(ctx, node, change) != nil {
-			return
-		}
-	}
+	v.makeChanges(ctx, node, func(now clock.Time, states []quorum.MemberState, self ident.DiskID) (votes.Change, bool) {
+		return votes.Leave(now, states, self, id)
+	})
 }
