--- a/instance/voting.go
+++ b/instance/voting.go
@@ -59,14 +59,14 @@
 	ctx, cancel := context.WithTimeout(ctx, assignTimeout)
 	defer cancel()
 	err := node.ChangeMembers(ctx, change.Members)
-	event := "votes"
+	event, level := "votes", logrus.InfoLevel
 	if change.Reason == votes.Lost {
-		event = "member_lost"
+		event, level = "member_lost", logrus.WarnLevel
 	}
 	v.in.log.WithFields(logrus.Fields{
 		"event": event, "member": change.Member.ID, "disk": change.Member.Disk, "reason": change.Reason,
 		"voters": change.Members.Voters(), "cause": err,
-	}).Info("the leader changed who votes")
+	}).Log(level, "the leader changed who votes")
 	return err
 }
 
